Skeleton: modules, core types, message types, node interfaces

Cause: the parts of the system are to be built side by side, so the types that pass between them come first. Modules depend one way, from core to io; decision modules see no clock and no socket. Ruled out: an interface per transport; cores take typed messages and hooks.

--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,21 @@
+#include "bench/measures.hpp"
+
+#include <vector>
+
+auto main(int argc, char** argv) -> int
+{
+    using briardrum::bench::measure;
+    CLI::App app{"Measures briardrum on this machine."};
+    app.set_version_flag("--version", BRIARDRUM_VERSION);
+    app.require_subcommand(1);
+    const std::vector<measure> measures = {};
+    CLI11_PARSE(app, argc, argv);
+    for (const auto& item : measures)
+    {
+        if (item.command->parsed())
+        {
+            return item.run();
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/modules/config/config.hpp
@@ -0,0 +1,13 @@
+#ifndef BRIARDRUM_CONFIG_CONFIG_HPP
+#define BRIARDRUM_CONFIG_CONFIG_HPP
+
+// What operators decide (services, presets, the preset in force) and what
+// each process is told at start (its settings), with all their checks.
+//
+// Depends on: core.
+
+#include "config/model/configuration.hpp"
+#include "config/model/preset.hpp"
+#include "config/model/service.hpp"
+
+#endif
--- /dev/null
+++ b/modules/core/tables/table.hpp
@@ -0,0 +1,120 @@
+#ifndef BRIARDRUM_CORE_TABLES_TABLE_HPP
+#define BRIARDRUM_CORE_TABLES_TABLE_HPP
+
+#include <cstddef>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace briardrum
+{
+
+// A table of entities found by key. Rows lie side by side, so that a system
+// can run over all of them each tick: for (auto& row : table.rows()).
+//
+// A pointer or reference to a row is valid until the next insert or erase.
+// Erasing moves the last row into the gap; iterate with erase_if() to remove
+// rows during a pass. Row order depends only on the order of operations, so
+// runs replay.
+template <typename Key, typename Row>
+class table
+{
+public:
+    struct entry
+    {
+        Key key;
+        Row row;
+    };
+
+    // The row with this key, or nullptr.
+    auto find(const Key& key) -> Row*
+    {
+        const auto it = places_.find(key);
+        return it == places_.end() ? nullptr : &rows_[it->second].row;
+    }
+
+    auto find(const Key& key) const -> const Row*
+    {
+        const auto it = places_.find(key);
+        return it == places_.end() ? nullptr : &rows_[it->second].row;
+    }
+
+    // Adds a row, or gives the one that is there already.
+    auto insert(const Key& key, Row row = {}) -> Row&
+    {
+        const auto [it, added] = places_.try_emplace(key, rows_.size());
+        if (added)
+        {
+            rows_.push_back({key, std::move(row)});
+        }
+        return rows_[it->second].row;
+    }
+
+    // Removes a row; false when there is none.
+    auto erase(const Key& key) -> bool
+    {
+        const auto it = places_.find(key);
+        if (it == places_.end())
+        {
+            return false;
+        }
+        const auto place = it->second;
+        places_.erase(it);
+        if (place + 1 != rows_.size())
+        {
+            rows_[place] = std::move(rows_.back());
+            places_[rows_[place].key] = place;
+        }
+        rows_.pop_back();
+        return true;
+    }
+
+    // Removes every row for which predicate(key, row) holds; gives how many.
+    template <typename Predicate>
+    auto erase_if(Predicate predicate) -> std::size_t
+    {
+        std::size_t removed = 0;
+        for (std::size_t n = 0; n < rows_.size();)
+        {
+            if (predicate(rows_[n].key, rows_[n].row))
+            {
+                const auto key = rows_[n].key;
+                erase(key);
+                ++removed;
+            }
+            else
+            {
+                ++n;
+            }
+        }
+        return removed;
+    }
+
+    auto rows() -> std::vector<entry>&
+    {
+        return rows_;
+    }
+
+    auto rows() const -> const std::vector<entry>&
+    {
+        return rows_;
+    }
+
+    auto size() const -> std::size_t
+    {
+        return rows_.size();
+    }
+
+    auto empty() const -> bool
+    {
+        return rows_.empty();
+    }
+
+private:
+    std::vector<entry> rows_;
+    std::unordered_map<Key, std::size_t> places_;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/io/io.cpp
@@ -0,0 +1,1 @@
+#include "io/io.hpp"
--- /dev/null
+++ b/modules/membership/membership.cpp
@@ -0,0 +1,1 @@
+#include "membership/membership.hpp"
--- /dev/null
+++ b/modules/node/balancer_core.hpp
@@ -0,0 +1,87 @@
+#ifndef BRIARDRUM_NODE_BALANCER_CORE_HPP
+#define BRIARDRUM_NODE_BALANCER_CORE_HPP
+
+#include "config/config.hpp"
+#include "core/core.hpp"
+#include "membership/membership.hpp"
+#include "wire/wire.hpp"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace briardrum
+{
+
+// A caller's datagram as the fabric handed it over.
+struct caller_packet
+{
+    endpoint caller;
+    endpoint service_address;
+    byte_view datagram;
+};
+
+struct balancer_hooks
+{
+    // Sends an envelope to an agent's data address.
+    std::function<void(const endpoint&, const envelope&)> send_envelope;
+    // Sends a datagram to a caller through the fabric.
+    std::function<void(const caller_packet&)> send_to_caller;
+    std::function<void(const endpoint&, const control_message&)> send_control;
+    event_sink events;
+};
+
+// The decisions of a balancer. It keeps no flow that it cannot lose, only
+// drops and never refuses.
+//
+// Per pass: on_packet() for everything that the socket holds, then serve(),
+// so that a flood is seen whole before any of it is forwarded. on_envelope()
+// forwards answers at once. tick() every 100 ms.
+class balancer_core
+{
+public:
+    balancer_core(member_record self, std::vector<endpoint> start_addresses,
+                  membership_settings settings, balancer_hooks hooks,
+                  std::uint64_t seed);
+    ~balancer_core();
+    balancer_core(const balancer_core&) = delete;
+    auto operator=(const balancer_core&) -> balancer_core& = delete;
+
+    // Adopts a configuration when its version is larger; false otherwise.
+    auto adopt(millis now, std::shared_ptr<const configuration> next) -> bool;
+
+    // Queues a caller's datagram under its service, or drops it.
+    auto on_packet(millis now, const caller_packet& packet) -> void;
+
+    // Forwards up to budget queued datagrams by share and urgency; gives how
+    // many it sent.
+    auto serve(millis now, std::size_t budget) -> std::size_t;
+
+    // An answer on its way to a caller.
+    auto on_envelope(millis now, const envelope& message) -> void;
+
+    // Membership messages; other kinds are ignored.
+    auto on_control(millis now, const control_message& message) -> void;
+
+    auto tick(millis now) -> void;
+
+    // Announces that this balancer leaves; it goes on forwarding.
+    auto leave(millis now) -> void;
+
+    auto members() -> member_view&;
+    auto has_configuration() const -> bool;
+
+    // Counters by name, for metrics: f(name, service name or "", value).
+    auto
+    visit_counters(const std::function<void(std::string_view, std::string_view,
+                                            std::uint64_t)>& visit) const
+        -> void;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/node/node.cpp
@@ -0,0 +1,1 @@
+#include "node/node.hpp"
--- /dev/null
+++ b/modules/report/report.cpp
@@ -0,0 +1,1 @@
+#include "report/report.hpp"
--- /dev/null
+++ b/modules/requests/requests.cpp
@@ -0,0 +1,1 @@
+#include "requests/requests.hpp"
--- /dev/null
+++ b/modules/requests/requests.hpp
@@ -0,0 +1,13 @@
+#ifndef BRIARDRUM_REQUESTS_REQUESTS_HPP
+#define BRIARDRUM_REQUESTS_REQUESTS_HPP
+
+// The life of a request at the agent that owns its flow: admission, limits,
+// urgency, deadlines, retries, kept answers and tombstones; and the cookies
+// that tie a non-repeatable request to one owner. Free of I/O.
+//
+// Depends on: core, config, wire, membership, routing.
+
+#include "requests/cookies/cookie_mint.hpp"
+#include "requests/engine/request_engine.hpp"
+
+#endif
--- /dev/null
+++ b/modules/wire/messages/control_message.hpp
@@ -0,0 +1,108 @@
+#ifndef BRIARDRUM_WIRE_MESSAGES_CONTROL_MESSAGE_HPP
+#define BRIARDRUM_WIRE_MESSAGES_CONTROL_MESSAGE_HPP
+
+#include "wire/messages/flow_record.hpp"
+#include "wire/messages/member_record.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace briardrum
+{
+
+// Membership: records the sender believes; the receiver merges them. want_all
+// asks for everything the receiver knows (a newcomer's first message).
+struct gossip_message
+{
+    std::vector<member_record> records;
+    bool want_all = false;
+};
+
+// Failure detection. subject is who is to answer: the receiver itself, or a
+// third member that the receiver is asked to probe for the sender.
+struct probe_message
+{
+    std::uint64_t sequence = 0;
+    member_id subject = 0;
+};
+
+// The answer to a probe. subject is who was found alive.
+struct probe_ack_message
+{
+    std::uint64_t sequence = 0;
+    member_id subject = 0;
+};
+
+// A joining server's future flows: the redirects of flows whose home it will
+// become. last marks the final part; acknowledged by sequence.
+struct redirects_message
+{
+    std::uint64_t sequence = 0;
+    std::vector<redirect_record> redirects;
+    bool last = false;
+};
+
+// A flow that moves to the receiver; resent until acknowledged.
+struct hand_over_message
+{
+    std::uint64_t sequence = 0;
+    flow_record flow;
+};
+
+// Acknowledges a redirects_message or a hand_over_message. accepted is false
+// when the receiver refuses the flow (it is draining itself, or holds a
+// larger generation).
+struct transfer_ack_message
+{
+    std::uint64_t sequence = 0;
+    bool accepted = true;
+};
+
+// One stored value that changed. An empty value with removed set was deleted.
+struct configuration_change
+{
+    std::string key;
+    std::string value;
+    bool removed = false;
+};
+
+// Configuration from a peer: the changes that lead from one version to the
+// next. from_version 0 means the changes are a whole snapshot.
+struct configuration_message
+{
+    configuration_version from_version = 0;
+    configuration_version to_version = 0;
+    std::vector<configuration_change> changes;
+};
+
+// Asks a peer for configuration newer than this.
+struct configuration_request
+{
+    configuration_version have = 0;
+};
+
+// Keeps a control connection known to be alive; sent both ways.
+struct heartbeat_message
+{
+    std::uint64_t sequence = 0;
+};
+
+using control_body =
+    std::variant<gossip_message, probe_message, probe_ack_message,
+                 redirects_message, hand_over_message, transfer_ack_message,
+                 configuration_message, configuration_request,
+                 heartbeat_message>;
+
+// A control message with its sender. Every kind is idempotent: receiving it
+// twice is the same as once.
+struct control_message
+{
+    member_id from = 0;
+    incarnation from_life = 0;
+    control_body body;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/wire/wire.hpp
@@ -0,0 +1,16 @@
+#ifndef BRIARDRUM_WIRE_WIRE_HPP
+#define BRIARDRUM_WIRE_WIRE_HPP
+
+// What processes say to each other: typed messages, their FlatBuffers
+// encoding, TCP framing, the PROXY header of the fabric and a read-only view
+// of CoAP datagrams with the few edits that an agent makes.
+//
+// Depends on: core, config.
+
+#include "wire/coap/coap_view.hpp"
+#include "wire/messages/control_message.hpp"
+#include "wire/messages/envelope.hpp"
+#include "wire/messages/flow_record.hpp"
+#include "wire/messages/member_record.hpp"
+
+#endif
