Messages: placement mark, owners with lives, load

Cause: a cookie names owner, life and generation, so a chain of owners needs the life too, else a restarted owner's old cookie could be honoured; a placed flow must be told from a corrected one, else two agents pass it to and fro. Ruled out: telling both apart by hop count, which breaks with stale views.

--- a/modules/wire/messages/control_message.hpp
+++ b/modules/wire/messages/control_message.hpp
@@ -82,6 +82,16 @@
     configuration_version have = 0;
 };
 
+// How loaded an agent is, told to the other agents of its service.
+struct load_message
+{
+    service_id service = 0;
+    std::uint32_t flows = 0;
+    // Requests answered per second, and queued or running now.
+    std::uint32_t rate = 0;
+    std::uint32_t in_progress = 0;
+};
+
 // Keeps a control connection known to be alive; sent both ways.
 struct heartbeat_message
 {
@@ -91,7 +101,7 @@
 using control_body =
     std::variant<gossip_message, probe_message, probe_ack_message,
                  redirects_message, hand_over_message, transfer_ack_message,
-                 configuration_message, configuration_request,
+                 configuration_message, configuration_request, load_message,
                  heartbeat_message>;
 
 // A control message with its sender. Every kind is idempotent: receiving it
--- a/modules/wire/messages/envelope.hpp
+++ b/modules/wire/messages/envelope.hpp
@@ -35,6 +35,9 @@
     // The agent that passed the request on or answered; 0 from a balancer.
     member_id from_agent = 0;
     std::uint8_t hops = 0;
+    // Between agents: true when the sender, as the flow's home, placed a new
+    // flow at the target; false when it only believes the target knows better.
+    bool placed = false;
     // Answer: how full the agent's server is, 0 to 100 percent.
     std::uint8_t saturation = 0;
     configuration_version version = 0;
--- a/modules/wire/messages/flow_record.hpp
+++ b/modules/wire/messages/flow_record.hpp
@@ -54,19 +54,29 @@
     std::uint32_t sequence = 0;
 };
 
+// One owner that a flow had: a cookie that names it is honoured by those who
+// received the flow from it, directly or not.
+struct flow_owner
+{
+    member_id id = 0;
+    incarnation life = 0;
+    flow_generation generation = 0;
+
+    auto operator==(const flow_owner&) const -> bool = default;
+};
+
 // All that a flow's owner holds, as handed to the next owner.
 struct flow_record
 {
     flow_key key;
+    // The generation that the receiver is to own.
     flow_generation generation = 0;
-    member_id previous_owner = 0;
-    incarnation previous_life = 0;
-    // Where the flow started: these generations were owned by whom. A cookie
-    // naming one of them is honoured by the current owner.
-    std::vector<std::pair<member_id, flow_generation>> owners;
+    // Every earlier owner whose cookies are still honoured, oldest first.
+    std::vector<flow_owner> owners;
     std::vector<request_record> requests;
     std::vector<observe_record> observes;
-    // True when an earlier hand-over of this flow may have run work.
+    // True when a receiver that died unacknowledged may have run work of this
+    // flow: cookies of earlier owners no longer admit a request.
     bool may_have_run = false;
     // The balancer that forwarded last.
     member_id balancer = 0;
@@ -77,6 +87,7 @@
 {
     flow_key key;
     member_id owner = 0;
+    incarnation owner_life = 0;
     flow_generation generation = 0;
 };
 
