Agent: flows, redirects, joins, hand-over, exchanges towards callers

Ruled out: moving flows when a server joins (a redirect costs 40 bytes once, a move costs the kept answers and a freeze); cookies by owner and generation alone (a restarted owner's old cookie would be honoured).

--- /dev/null
+++ b/modules/node/agent/agent_context.cpp
@@ -0,0 +1,118 @@
+#include "node/agent/agent_context.hpp"
+
+#include <utility>
+
+namespace briardrum
+{
+
+agent_context::agent_context(member_record self,
+                             std::vector<endpoint> start_addresses,
+                             membership_settings settings,
+                             agent_hooks to_outside, std::uint64_t seed)
+    : hooks(std::move(to_outside)),
+      members(std::move(self), std::move(start_addresses), settings,
+              {hooks.send_control, {}, hooks.events}, seed),
+      boot_life(members.self().life), mint({})
+{
+}
+
+auto agent_context::own_service() const -> const service*
+{
+    return config == nullptr ? nullptr
+                             : config->find(members.self().service_name);
+}
+
+auto agent_context::takes_new_flows() const -> bool
+{
+    return members.self().state == member_state::ready;
+}
+
+auto agent_context::pass_on(const envelope& message, member_id to, bool placed)
+    -> bool
+{
+    const auto* record = members.find(to);
+    if (record == nullptr || message.hops >= hop_limit)
+    {
+        counters.add(record == nullptr ? agent_counter::dropped
+                                       : agent_counter::hop_limit_reached);
+        return false;
+    }
+    // A flow never goes to an agent of another service.
+    BRIARDRUM_INVARIANT(record->service_name == members.self().service_name);
+    auto next = message;
+    next.target = to;
+    next.target_incarnation = record->life;
+    next.from_agent = members.self().id;
+    next.hops = static_cast<std::uint8_t>(message.hops + 1);
+    next.placed = placed;
+    hooks.send_envelope(record->data_address, next);
+    counters.add(agent_counter::flows_passed_on);
+    return true;
+}
+
+auto agent_context::send_to_caller(const flow_key& flow, byte_view datagram)
+    -> void
+{
+    const auto* own = own_service();
+    const auto* balancer = choose_balancer(flow);
+    if (own == nullptr || balancer == nullptr)
+    {
+        counters.add(agent_counter::dropped);
+        return;
+    }
+    // An answer leaves only for the service that our server announced.
+    BRIARDRUM_INVARIANT(own->id == flow.service);
+    envelope out;
+    out.kind = envelope_kind::answer;
+    out.service = flow.service;
+    out.target = balancer->id;
+    out.target_incarnation = balancer->life;
+    out.caller = flow.caller;
+    out.service_address = own->address;
+    out.balancer = balancer->id;
+    out.from_agent = members.self().id;
+    out.saturation = saturation;
+    out.version = config->version;
+    out.datagram = datagram;
+    hooks.send_envelope(balancer->data_address, out);
+}
+
+auto agent_context::send_control(member_id to, control_body body) -> void
+{
+    const auto* record = members.find(to);
+    if (record == nullptr)
+    {
+        return;
+    }
+    const auto& self = members.self();
+    hooks.send_control(record->control_address,
+                       {self.id, self.life, std::move(body)});
+}
+
+auto agent_context::emit(const event& item) const -> void
+{
+    if (hooks.events)
+    {
+        hooks.events(item);
+    }
+}
+
+auto agent_context::choose_balancer(const flow_key& flow) const
+    -> const member_record*
+{
+    const auto* row = flows.find(flow);
+    const auto* last = row == nullptr ? nullptr : members.find(row->balancer);
+    if (last != nullptr && last->state < member_state::left)
+    {
+        return last;
+    }
+    const auto live = members.balancers();
+    if (live.empty())
+    {
+        return nullptr;
+    }
+    const auto n = std::hash<flow_key>{}(flow) % live.size();
+    return members.find(live[n]);
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/node/agent/flow_router.hpp
@@ -0,0 +1,53 @@
+#ifndef BRIARDRUM_NODE_AGENT_FLOW_ROUTER_HPP
+#define BRIARDRUM_NODE_AGENT_FLOW_ROUTER_HPP
+
+#include "node/agent/agent_context.hpp"
+#include "node/agent/flow_mover.hpp"
+#include "node/agent/redirect_announcer.hpp"
+#include "node/agent/request_path.hpp"
+
+namespace briardrum
+{
+
+// Decides for each caller's datagram whether its flow is ours, lives at
+// another agent, or is new and gets its place now.
+class flow_router
+{
+public:
+    flow_router(agent_context& context, redirect_announcer& announcer,
+                request_path& requests, flow_mover& mover);
+
+    auto on_envelope(millis now, const envelope& message) -> void;
+
+    // This agent became ready: for a while it asks the next in the order
+    // about flows that it does not know.
+    auto on_joined(millis now) -> void;
+
+    auto on_draining(millis now) -> void;
+
+private:
+    // False when the envelope is not for this service or life.
+    auto is_for_us(const envelope& message) -> bool;
+    auto serve(millis now, const flow_key& flow, const envelope& message,
+               const coap_view& view) -> void;
+    auto must_wait(millis now, const flow_key& flow) const -> bool;
+    auto follow_redirect(millis now, const flow_key& flow,
+                         const envelope& message) -> bool;
+    auto follow_cookie(const flow_key& flow, const envelope& message,
+                       const coap_view& view) -> bool;
+    auto place(millis now, const flow_key& flow, const envelope& message,
+               const coap_view& view) -> void;
+    auto own(millis now, const flow_key& flow, const envelope& message) -> void;
+
+    agent_context& context_;
+    redirect_announcer& announcer_;
+    request_path& requests_;
+    flow_mover& mover_;
+    millis asks_until_;
+    bool draining_ = false;
+    millis draining_since_;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/requests/exchanges/observe_table.hpp
@@ -0,0 +1,55 @@
+#ifndef BRIARDRUM_REQUESTS_EXCHANGES_OBSERVE_TABLE_HPP
+#define BRIARDRUM_REQUESTS_EXCHANGES_OBSERVE_TABLE_HPP
+
+#include "core/core.hpp"
+#include "wire/wire.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace briardrum
+{
+
+// A caller's Observe registration at our server.
+struct observe_row
+{
+    request_id id;
+    // The caller's registering request, to repeat it at another server.
+    byte_buffer request;
+    // The last sequence that the caller was given; it only rises.
+    std::uint32_t sequence = 0;
+    // When the caller last acknowledged a notification.
+    millis acknowledged_at;
+};
+
+// The registrations of one agent, by the token under which its server knows
+// them.
+class observe_table
+{
+public:
+    // Adds a registration; one of the same flow and token is replaced.
+    auto add(std::uint64_t own_token, observe_row row) -> void;
+
+    auto find(std::uint64_t own_token) -> observe_row*;
+
+    // Our token of the registration that a caller's token names, or 0.
+    auto token_of(const flow_key& flow, std::uint64_t caller_token) const
+        -> std::uint64_t;
+
+    auto erase(std::uint64_t own_token) -> void;
+
+    // Registrations of a flow, taken out as they are handed over.
+    auto take(const flow_key& flow) -> std::vector<observe_record>;
+
+    auto has(const flow_key& flow) const -> bool;
+
+    auto rows() -> table<std::uint64_t, observe_row>&;
+
+private:
+    table<std::uint64_t, observe_row> rows_;
+    table<flow_key, std::vector<std::uint64_t>> by_flow_;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/routing/choice/service_candidates.cpp
@@ -0,0 +1,73 @@
+#include "routing/choice/service_candidates.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace briardrum
+{
+
+auto service_candidates::entry::operator==(const entry& other) const -> bool
+{
+    return item.id == other.item.id && item.weight == other.item.weight &&
+           life == other.life && joining == other.joining;
+}
+
+auto service_candidates::refresh(const member_view& members,
+                                 const std::string& service_name) -> bool
+{
+    if (members.epoch() == epoch_)
+    {
+        return false;
+    }
+    epoch_ = members.epoch();
+    std::vector<entry> next;
+    for (const auto id : members.agents_of(service_name))
+    {
+        const auto* record = members.find(id);
+        if (record == nullptr || record->state == member_state::draining)
+        {
+            continue;
+        }
+        const auto weight = std::max<std::uint32_t>(1, record->slots);
+        next.push_back({{id, weight},
+                        record->life,
+                        record->state == member_state::joining});
+    }
+    if (next == entries_)
+    {
+        return false;
+    }
+    entries_ = std::move(next);
+    serving_.clear();
+    future_.clear();
+    for (const auto& it : entries_)
+    {
+        future_.push_back(it.item);
+        if (!it.joining)
+        {
+            serving_.push_back(it.item);
+        }
+    }
+    return true;
+}
+
+auto service_candidates::serving() const -> std::span<const candidate>
+{
+    return serving_;
+}
+
+auto service_candidates::future() const -> std::span<const candidate>
+{
+    return future_;
+}
+
+auto service_candidates::is_serving(member_id id) const -> bool
+{
+    return std::any_of(serving_.begin(), serving_.end(),
+                       [&](const candidate& item)
+                       {
+                           return item.id == id;
+                       });
+}
+
+} // namespace briardrum
