Wire: CoAP view and edits, envelope and control codecs, framing, PROXY header

Cause: the daemons need to read and write what processes say to each other before anything can be forwarded.

Ruled out: coap_pdu_parse() for reading. It needs a PDU from coap_pdu_init(), which allocates twice, and it copies the datagram; read_coap() runs once per datagram. The header is read by a bounds-checked walk of our own and each option by libcoap's coap_opt_parse(), which allocates nothing. That function keeps 16 bits of an option's delta, so a delta above 65535 would come out small: the reader recomputes it and refuses. Options are written by coap_opt_encode(). A leading version byte was weighed against the last letter of the FlatBuffers file identifier; the letter costs nothing and keeps the buffer's alignment.

--- /dev/null
+++ b/modules/wire/coap/coap_option_reader.cpp
@@ -0,0 +1,98 @@
+#include "wire/coap/coap_option_reader.hpp"
+
+#include <coap3/coap.h>
+#include <limits>
+
+namespace briardrum
+{
+
+namespace
+{
+
+constexpr std::size_t option_number_max =
+    std::numeric_limits<std::uint16_t>::max();
+
+// The delta as it stands in the bytes; coap_opt_parse() keeps sixteen bits
+// only, so that a larger one would come out small.
+auto whole_delta(byte_view option) -> std::size_t
+{
+    constexpr std::size_t one_byte_form = 13;
+    constexpr std::size_t two_byte_form = 14;
+    constexpr std::size_t two_byte_offset = 269;
+    const std::size_t first = option[0] >> 4U;
+    if (first == one_byte_form)
+    {
+        return one_byte_form + option[1];
+    }
+    if (first == two_byte_form)
+    {
+        return two_byte_offset + (std::size_t{option[1]} << 8U) + option[2];
+    }
+    return first;
+}
+
+} // namespace
+
+coap_option_reader::coap_option_reader(byte_view bytes) : rest_(bytes) {}
+
+auto coap_option_reader::next() -> bool
+{
+    if (failed_ || at_payload_ || rest_.empty())
+    {
+        return false;
+    }
+    if (rest_.front() == coap_payload_marker)
+    {
+        return take_payload();
+    }
+    coap_option_t parsed{};
+    const auto n = coap_opt_parse(rest_.data(), rest_.size(), &parsed);
+    if (n == 0 || n > rest_.size() || parsed.length > n)
+    {
+        return fail();
+    }
+    const auto number = option_.number + whole_delta(rest_);
+    if (number > option_number_max)
+    {
+        return fail();
+    }
+    option_.number = static_cast<std::uint16_t>(number);
+    option_.value = rest_.first(n).last(parsed.length);
+    rest_ = rest_.subspan(n);
+    return true;
+}
+
+auto coap_option_reader::option() const -> const coap_option&
+{
+    return option_;
+}
+
+auto coap_option_reader::failed() const -> bool
+{
+    return failed_;
+}
+
+auto coap_option_reader::payload() const -> byte_view
+{
+    return at_payload_ ? rest_ : byte_view{};
+}
+
+auto coap_option_reader::fail() -> bool
+{
+    failed_ = true;
+    return false;
+}
+
+auto coap_option_reader::take_payload() -> bool
+{
+    // A marker with nothing behind it is an error (RFC 7252, section 3).
+    if (rest_.size() == 1)
+    {
+        return fail();
+    }
+    rest_ = rest_.subspan(1);
+    at_payload_ = true;
+    return false;
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/wire/coap/coap_option_writer.cpp
@@ -0,0 +1,46 @@
+#include "wire/coap/coap_option_writer.hpp"
+
+#include "wire/coap/coap_option_reader.hpp"
+
+#include <array>
+#include <coap3/coap.h>
+
+namespace briardrum
+{
+
+coap_option_writer::coap_option_writer(byte_buffer& out) : out_(out) {}
+
+auto coap_option_writer::append(std::uint16_t number, byte_view value) -> void
+{
+    // The caller appended options out of order.
+    BRIARDRUM_INVARIANT(number >= number_);
+    const auto delta = static_cast<std::uint16_t>(number - number_);
+    const auto start = out_.size();
+    const auto room = coap_opt_encode_size(delta, value.size());
+    out_.resize(start + room);
+    const auto n = coap_opt_encode(out_.data() + start, room, delta,
+                                   value.data(), value.size());
+    // The caller passed a value that no CoAP option can hold.
+    BRIARDRUM_INVARIANT(n == room);
+    number_ = number;
+}
+
+auto coap_option_writer::append(std::uint16_t number, std::uint32_t value)
+    -> void
+{
+    std::array<std::uint8_t, sizeof(value)> buf{};
+    const auto n = coap_encode_var_safe(buf.data(), buf.size(), value);
+    append(number, byte_view(buf).first(n));
+}
+
+auto coap_option_writer::append_payload(byte_view payload) -> void
+{
+    if (payload.empty())
+    {
+        return;
+    }
+    out_.push_back(coap_payload_marker);
+    out_.insert(out_.end(), payload.begin(), payload.end());
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/wire/coap/coap_option_writer.hpp
@@ -0,0 +1,31 @@
+#ifndef BRIARDRUM_WIRE_COAP_COAP_OPTION_WRITER_HPP
+#define BRIARDRUM_WIRE_COAP_COAP_OPTION_WRITER_HPP
+
+#include "core/core.hpp"
+
+namespace briardrum
+{
+
+// Appends CoAP options to a buffer. Options must come in rising order of
+// their numbers.
+class coap_option_writer
+{
+public:
+    explicit coap_option_writer(byte_buffer& out);
+
+    auto append(std::uint16_t number, byte_view value) -> void;
+
+    // Appends a uint option in its shortest form.
+    auto append(std::uint16_t number, std::uint32_t value) -> void;
+
+    // Appends the payload marker and the payload; nothing for an empty one.
+    auto append_payload(byte_view payload) -> void;
+
+private:
+    byte_buffer& out_;
+    std::uint16_t number_ = 0;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/wire/framing/frame_reader.cpp
@@ -0,0 +1,65 @@
+#include "wire/framing/frame_reader.hpp"
+
+#include "wire/bytes/big_endian.hpp"
+
+namespace briardrum
+{
+
+auto append_frame(byte_view content, byte_buffer& out) -> absl::Status
+{
+    if (content.empty())
+    {
+        return make_error(error_kind::invalid_argument, "empty frame");
+    }
+    if (content.size() > frame_bytes_max)
+    {
+        return make_error(error_kind::oversize, "frame too large");
+    }
+    put_u32(static_cast<std::uint32_t>(content.size()), out);
+    out.insert(out.end(), content.begin(), content.end());
+    return absl::OkStatus();
+}
+
+auto frame_reader::feed(byte_view bytes) -> void
+{
+    if (!broken_.ok())
+    {
+        return;
+    }
+    bytes_.erase(bytes_.begin(),
+                 bytes_.begin() + static_cast<std::ptrdiff_t>(used_));
+    used_ = 0;
+    bytes_.insert(bytes_.end(), bytes.begin(), bytes.end());
+}
+
+auto frame_reader::next() -> absl::StatusOr<std::optional<byte_view>>
+{
+    if (!broken_.ok())
+    {
+        return broken_;
+    }
+    const auto rest = byte_view(bytes_).subspan(used_);
+    if (rest.size() < frame_head_bytes)
+    {
+        return std::nullopt;
+    }
+    const std::size_t n = get_u32(rest, 0);
+    if (n == 0)
+    {
+        broken_ = make_error(error_kind::malformed, "empty frame");
+        return broken_;
+    }
+    if (n > frame_bytes_max)
+    {
+        broken_ = make_error(error_kind::oversize, "frame too large");
+        return broken_;
+    }
+    if (rest.size() - frame_head_bytes < n)
+    {
+        return std::nullopt;
+    }
+    used_ += frame_head_bytes + n;
+    return rest.subspan(frame_head_bytes, n);
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/wire/proxy/proxy_header.cpp
@@ -0,0 +1,119 @@
+#include "wire/proxy/proxy_header.hpp"
+
+#include "wire/bytes/big_endian.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace briardrum
+{
+
+namespace
+{
+
+// Layout: signature, version and command, family and protocol, length of
+// what follows, then addresses and ports, then extensions.
+constexpr std::array<std::uint8_t, 12> signature = {
+    0x0d, 0x0a, 0x0d, 0x0a, 0x00, 0x0d, 0x0a, 0x51, 0x55, 0x49, 0x54, 0x0a};
+constexpr std::size_t version_at = 12;
+constexpr std::size_t family_at = 13;
+constexpr std::size_t length_at = 14;
+constexpr std::size_t addresses_at = 16;
+constexpr std::size_t extensions_at = proxy_header_bytes;
+constexpr std::size_t addresses_bytes = extensions_at - addresses_at;
+constexpr std::uint8_t version = 2;
+constexpr std::uint8_t command_proxy = 1;
+constexpr std::uint8_t family_ipv4_dgram = 0x12;
+// Type and length of an extension.
+constexpr std::size_t extension_head_bytes = 3;
+
+auto malformed(const char* what) -> absl::Status
+{
+    return make_error(error_kind::malformed, what);
+}
+
+auto check_start(byte_view bytes) -> absl::Status
+{
+    if (bytes.size() < extensions_at ||
+        !std::equal(signature.begin(), signature.end(), bytes.begin()))
+    {
+        return malformed("no PROXY header");
+    }
+    if (bytes[version_at] >> 4U != version)
+    {
+        return make_error(error_kind::wrong_version,
+                          "not version 2 of the PROXY protocol");
+    }
+    if ((bytes[version_at] & 15U) != command_proxy)
+    {
+        return malformed("not the PROXY command");
+    }
+    if (bytes[family_at] != family_ipv4_dgram)
+    {
+        return malformed("not datagrams over IPv4");
+    }
+    return absl::OkStatus();
+}
+
+auto are_whole(byte_view extensions) -> bool
+{
+    while (!extensions.empty())
+    {
+        if (extensions.size() < extension_head_bytes)
+        {
+            return false;
+        }
+        const auto n = extension_head_bytes + get_u16(extensions, 1);
+        if (n > extensions.size())
+        {
+            return false;
+        }
+        extensions = extensions.subspan(n);
+    }
+    return true;
+}
+
+} // namespace
+
+auto write_proxy_header(const proxied_datagram& packet, byte_buffer& out)
+    -> void
+{
+    out.assign(signature.begin(), signature.end());
+    out.push_back((version << 4U) | command_proxy);
+    out.push_back(family_ipv4_dgram);
+    put_u16(addresses_bytes, out);
+    put_u32(packet.caller.address, out);
+    put_u32(packet.service_address.address, out);
+    put_u16(packet.caller.port, out);
+    put_u16(packet.service_address.port, out);
+    out.insert(out.end(), packet.datagram.begin(), packet.datagram.end());
+}
+
+auto read_proxy_header(byte_view bytes) -> absl::StatusOr<proxied_datagram>
+{
+    if (auto ec = check_start(bytes); !ec.ok())
+    {
+        return ec;
+    }
+    const std::size_t length = get_u16(bytes, length_at);
+    const auto rest = bytes.subspan(addresses_at);
+    if (length < addresses_bytes || length > rest.size())
+    {
+        return malformed("PROXY header cut short");
+    }
+    if (!are_whole(rest.first(length).subspan(addresses_bytes)))
+    {
+        return malformed("extension of a PROXY header cut short");
+    }
+    if (length == rest.size())
+    {
+        return malformed("PROXY header without a datagram");
+    }
+    proxied_datagram packet;
+    packet.caller = {get_u32(rest, 0), get_u16(rest, 8)};
+    packet.service_address = {get_u32(rest, 4), get_u16(rest, 10)};
+    packet.datagram = rest.subspan(length);
+    return packet;
+}
+
+} // namespace briardrum
--- a/modules/wire/wire.hpp
+++ b/modules/wire/wire.hpp
@@ -8,9 +8,13 @@
 // Depends on: core, config.
 
 #include "wire/coap/coap_view.hpp"
+#include "wire/codec/control_codec.hpp"
+#include "wire/codec/envelope_codec.hpp"
+#include "wire/framing/frame_reader.hpp"
 #include "wire/messages/control_message.hpp"
 #include "wire/messages/envelope.hpp"
 #include "wire/messages/flow_record.hpp"
 #include "wire/messages/member_record.hpp"
+#include "wire/proxy/proxy_header.hpp"
 
 #endif
