Requests: cookies, states, limits, kept answers

Cause: agents need the request_engine and cookie_mint behind the headers of the skeleton.

request_table is the one place that moves a request from state to state; its invariants keep a non-repeatable request from running twice and 'not run' from being said of one that may have run. limits/ holds the learnt concurrency limit, the retry budget and the queue by urgency and caller; answers/ keeps finished requests for EXCHANGE_LIFETIME.

Ruled out: one table for requests in progress and kept ones (each tick would run over all kept answers); evicting old ids under pressure (a late copy could run again).

Added to the interface: on_server_ready, on_server_heard, looks_silent, counters, limit, kept_bytes, kept_count, request_bounds, request_hooks::finished, arrival_result::dropped.

--- /dev/null
+++ b/modules/requests/answers/answer_store.cpp
@@ -0,0 +1,77 @@
+#include "requests/answers/answer_store.hpp"
+
+namespace briardrum
+{
+
+namespace
+{
+
+// Links of the three indices, their buckets, and what the allocator adds to
+// the row and to the answer.
+constexpr std::size_t overhead_bytes = 128;
+
+} // namespace
+
+auto answer_store::find(millis now, const request_id& id) const
+    -> const kept_answer*
+{
+    const auto it = kept_.find(id);
+    if (it == kept_.end() || it->expires <= now)
+    {
+        return nullptr;
+    }
+    return &*it;
+}
+
+auto answer_store::keep(millis now, kept_answer answer) -> void
+{
+    expire(now);
+    answer.answer.shrink_to_fit();
+    const auto added = cost(answer.answer.size());
+    const auto [it, fresh] = kept_.insert(std::move(answer));
+    // The request was finished twice.
+    BRIARDRUM_INVARIANT(fresh);
+    bytes_ += added;
+}
+
+auto answer_store::expire(millis now) -> void
+{
+    auto& index = kept_.get<by_expiry>();
+    while (!index.empty() && index.begin()->expires <= now)
+    {
+        bytes_ -= cost(index.begin()->answer.size());
+        index.erase(index.begin());
+    }
+}
+
+auto answer_store::take(millis now, const flow_key& flow)
+    -> std::vector<kept_answer>
+{
+    expire(now);
+    auto& index = kept_.get<by_flow>();
+    const auto [begin, end] = index.equal_range(flow);
+    std::vector<kept_answer> out(begin, end);
+    index.erase(begin, end);
+    for (const auto& item : out)
+    {
+        bytes_ -= cost(item.answer.size());
+    }
+    return out;
+}
+
+auto answer_store::size() const -> std::size_t
+{
+    return kept_.size();
+}
+
+auto answer_store::bytes() const -> std::size_t
+{
+    return bytes_;
+}
+
+auto answer_store::cost(std::size_t answer_size) -> std::size_t
+{
+    return sizeof(kept_answer) + overhead_bytes + answer_size;
+}
+
+} // namespace briardrum
--- a/modules/requests/engine/request_engine.hpp
+++ b/modules/requests/engine/request_engine.hpp
@@ -36,6 +36,9 @@
     repeated,
     // Refused now; it never runs.
     refused,
+    // No room to remember even a refusal: nothing was said, and a later copy
+    // may be taken.
+    dropped,
 };
 
 // How the server's answer reads for the limits.
@@ -47,6 +50,19 @@
     overloaded,
 };
 
+// How a request ended, for counters: once for each request that was taken in
+// or refused.
+struct request_outcome
+{
+    urgency level = urgency::normal;
+    // none when the server answered.
+    error_kind kind = error_kind::none;
+    // The caller had stopped waiting.
+    bool cancelled = false;
+    // From arrival at this agent.
+    millis latency;
+};
+
 struct request_hooks
 {
     // Sends a request to the server under our own token.
@@ -62,6 +78,35 @@
     // Tells the server that nobody waits for this any more.
     std::function<void(const request_id&, std::uint64_t own_token)> cancel;
     event_sink events;
+    // A request ended; may be empty.
+    std::function<void(const request_outcome&)> finished;
+};
+
+// Bounds of an engine's memory.
+struct request_bounds
+{
+    // Kept answers, with room set aside for those of requests in progress.
+    std::size_t answer_bytes = std::size_t{48} << 20U;
+    // Refusals beside these.
+    std::size_t refusal_bytes = std::size_t{16} << 20U;
+    // Datagrams of waiting requests.
+    std::size_t queue_bytes = std::size_t{8} << 20U;
+};
+
+// What an engine did so far, for metrics.
+struct request_counters
+{
+    std::uint64_t arrived = 0;
+    std::uint64_t dispatched = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t outcome_unknown = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t dropped = 0;
+    std::uint64_t repeated = 0;
+    std::uint64_t retried = 0;
+    // Answers that found no running request.
+    std::uint64_t stray_answers = 0;
 };
 
 // All requests of one agent, from arrival until their ids may be forgotten.
@@ -75,7 +120,8 @@
 class request_engine
 {
 public:
-    request_engine(request_hooks hooks, std::uint64_t seed);
+    request_engine(request_hooks hooks, std::uint64_t seed,
+                   request_bounds bounds = {});
     ~request_engine();
     request_engine(const request_engine&) = delete;
     auto operator=(const request_engine&) -> request_engine& = delete;
@@ -95,6 +141,13 @@
     // when repeatable, else end as outcome unknown.
     auto on_server_lost(millis now) -> void;
 
+    // The server is there again, or answers its health endpoint. Without this
+    // an engine tries a lost server with one request at a time.
+    auto on_server_ready(millis now) -> void;
+
+    // Anything at all came from the server, an empty acknowledgement included.
+    auto on_server_heard(millis now) -> void;
+
     // The caller no longer waits.
     auto cancel(millis now, const request_id& id) -> void;
 
@@ -114,6 +167,20 @@
     // How full the server is, 0 to 100 percent.
     auto saturation() const -> std::uint8_t;
 
+    // True when the server has requests in progress and has not been heard of
+    // for much longer than it usually takes, whatever its health endpoint
+    // says.
+    auto looks_silent(millis now) const -> bool;
+
+    auto counters() const -> const request_counters&;
+
+    // Requests that the server is given at once, as learnt from its answers.
+    auto limit() const -> std::size_t;
+
+    // Memory of kept answers and refusals.
+    auto kept_bytes() const -> std::size_t;
+    auto kept_count() const -> std::size_t;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
--- /dev/null
+++ b/modules/requests/engine/request_table.cpp
@@ -0,0 +1,250 @@
+#include "requests/engine/request_table.hpp"
+
+namespace briardrum
+{
+
+namespace
+{
+
+auto is_move(request_state from, request_state to) -> bool
+{
+    switch (from)
+    {
+    case request_state::queued:
+        return to == request_state::running || to == request_state::refused;
+    case request_state::running:
+        return to == request_state::queued || to == request_state::answered;
+    case request_state::answered:
+    case request_state::refused:
+        return false;
+    }
+    return false;
+}
+
+} // namespace
+
+auto request_table::find(const request_id& id) -> active_request*
+{
+    return active_.find(id);
+}
+
+auto request_table::finished(millis now, const request_id& id) const
+    -> const kept_answer*
+{
+    return store_.find(now, id);
+}
+
+auto request_table::running(std::uint64_t own_token) const -> const request_id*
+{
+    const auto it = tokens_.find(own_token);
+    return it == tokens_.end() ? nullptr : &it->second;
+}
+
+auto request_table::add(millis now, const request_id& id, active_request row)
+    -> active_request&
+{
+    // A request that is known already would run beside, or after, itself.
+    BRIARDRUM_INVARIANT(active_.find(id) == nullptr);
+    BRIARDRUM_INVARIANT(store_.find(now, id) == nullptr);
+    // Every request begins as queued and never run.
+    BRIARDRUM_INVARIANT(row.state == request_state::queued && row.runs == 0);
+    ++per_flow_[id.flow];
+    datagram_bytes_ += row.datagram.size();
+    timers_.emplace(row.timer, id);
+    return active_.insert(id, std::move(row));
+}
+
+auto request_table::start(millis now, const request_id& id,
+                          std::uint64_t own_token) -> active_request&
+{
+    auto& row = require(id);
+    // Nothing runs after its refusal.
+    BRIARDRUM_INVARIANT(store_.find(now, id) == nullptr);
+    move(row, request_state::running);
+    ++row.runs;
+    row.own_token = own_token;
+    row.dispatched = now;
+    const auto fresh = tokens_.emplace(own_token, id).second;
+    // Two runs with one token would get each other's answers.
+    BRIARDRUM_INVARIANT(fresh);
+    return row;
+}
+
+auto request_table::shed(const request_id& id) -> active_request&
+{
+    auto& row = require(id);
+    ++row.sheds;
+    leave_running(row);
+    move(row, request_state::queued);
+    return row;
+}
+
+auto request_table::retry(const request_id& id) -> active_request&
+{
+    auto& row = require(id);
+    // Only what may be repeated is tried again.
+    BRIARDRUM_INVARIANT(row.repeatable);
+    leave_running(row);
+    move(row, request_state::queued);
+    return row;
+}
+
+auto request_table::answer(millis now, const request_id& id, byte_view answer)
+    -> void
+{
+    auto& row = require(id);
+    leave_running(row);
+    move(row, request_state::answered);
+    finish(now, id, error_kind::none, answer);
+}
+
+auto request_table::give_up(millis now, const request_id& id, error_kind kind)
+    -> void
+{
+    auto& row = require(id);
+    // A request that ran, or may have, is never said not to have run.
+    BRIARDRUM_INVARIANT(!answer_for(kind).not_run);
+    leave_running(row);
+    move(row, request_state::answered);
+    finish(now, id, kind, {});
+}
+
+auto request_table::refuse(millis now, const request_id& id, error_kind kind)
+    -> void
+{
+    auto& row = require(id);
+    // "Not run" was about to be said of a request that may have run.
+    BRIARDRUM_INVARIANT(!answer_for(kind).not_run || !row.may_have_run());
+    move(row, request_state::refused);
+    finish(now, id, kind, {});
+}
+
+auto request_table::restore(millis now, kept_answer answer) -> void
+{
+    if (active_.find(answer.id) != nullptr ||
+        store_.find(now, answer.id) != nullptr)
+    {
+        return;
+    }
+    store_.keep(now, std::move(answer));
+}
+
+auto request_table::take(millis now, const flow_key& flow)
+    -> std::vector<kept_answer>
+{
+    // Running requests never move: their answers would find nobody.
+    BRIARDRUM_INVARIANT(in_progress(flow) == 0);
+    return store_.take(now, flow);
+}
+
+auto request_table::set_timer(const request_id& id, millis when) -> void
+{
+    auto& row = require(id);
+    timers_.erase({row.timer, id});
+    row.timer = when;
+    timers_.emplace(when, id);
+}
+
+auto request_table::next_due(millis now) const -> const request_id*
+{
+    if (timers_.empty() || timers_.begin()->first > now)
+    {
+        return nullptr;
+    }
+    return &timers_.begin()->second;
+}
+
+auto request_table::running() const -> std::vector<request_id>
+{
+    std::vector<request_id> out;
+    out.reserve(tokens_.size());
+    for (const auto& [token, id] : tokens_)
+    {
+        out.push_back(id);
+    }
+    return out;
+}
+
+auto request_table::running_count() const -> std::size_t
+{
+    return tokens_.size();
+}
+
+auto request_table::oldest_run(millis now) const -> millis
+{
+    if (tokens_.empty())
+    {
+        return now;
+    }
+    return active_.find(tokens_.begin()->second)->dispatched;
+}
+
+auto request_table::in_progress(const flow_key& flow) const -> std::size_t
+{
+    const auto it = per_flow_.find(flow);
+    return it == per_flow_.end() ? 0 : it->second;
+}
+
+auto request_table::in_progress() const -> std::size_t
+{
+    return active_.size();
+}
+
+auto request_table::datagram_bytes() const -> std::size_t
+{
+    return datagram_bytes_;
+}
+
+auto request_table::store() -> answer_store&
+{
+    return store_;
+}
+
+auto request_table::store() const -> const answer_store&
+{
+    return store_;
+}
+
+auto request_table::move(active_request& row, request_state to) -> void
+{
+    // The states do not allow this move.
+    BRIARDRUM_INVARIANT(is_move(row.state, to));
+    // A request that may not be repeated runs at most once: it may only run
+    // when the server did not run it any earlier time.
+    BRIARDRUM_INVARIANT(to != request_state::running || row.repeatable ||
+                        !row.may_have_run());
+    row.state = to;
+}
+
+auto request_table::leave_running(active_request& row) -> void
+{
+    tokens_.erase(row.own_token);
+    row.own_token = 0;
+}
+
+auto request_table::finish(millis now, const request_id& id, error_kind kind,
+                           byte_view answer) -> void
+{
+    const auto key = id;
+    auto& row = require(key);
+    timers_.erase({row.timer, key});
+    datagram_bytes_ -= row.datagram.size();
+    const auto count = per_flow_.find(key.flow);
+    if (--count->second == 0)
+    {
+        per_flow_.erase(count);
+    }
+    kept_answer kept{key, now + exchange_lifetime, kind, to_buffer(answer)};
+    active_.erase(key);
+    store_.keep(now, std::move(kept));
+}
+
+auto request_table::require(const request_id& id) -> active_request&
+{
+    auto* row = active_.find(id);
+    // The request is not in progress.
+    BRIARDRUM_INVARIANT(row != nullptr);
+    return *row;
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/requests/limits/concurrency_limit.cpp
@@ -0,0 +1,84 @@
+#include "requests/limits/concurrency_limit.hpp"
+
+#include <algorithm>
+
+namespace briardrum
+{
+
+namespace
+{
+
+// Assumed of a server that does not say how many requests it runs at once.
+constexpr std::uint32_t default_slots = 4;
+
+constexpr double overload_factor = 0.7;
+constexpr double slowdown_factor = 0.9;
+// Recent answers slower than this many baselines count as a slowdown.
+constexpr double slowdown_ratio = 2;
+// Answers to requests that ran before a decrease say nothing about it.
+constexpr millis decrease_interval_min = milliseconds(100);
+
+} // namespace
+
+auto concurrency_limit::set_slots(std::uint32_t slots) -> void
+{
+    bound_ = slots == 0 ? default_slots : slots;
+    limit_ = std::min(limit_, bound_);
+}
+
+auto concurrency_limit::on_answered(millis now, millis latency,
+                                    std::size_t running) -> void
+{
+    latency_.add(latency);
+    const auto slow = latency_.is_settled() &&
+                      latency_.recent() > slowdown_ratio * latency_.baseline();
+    if (slow)
+    {
+        decrease(now, slowdown_factor);
+        return;
+    }
+    // A limit that is not used up has not been tried.
+    if (running + 1 < value())
+    {
+        return;
+    }
+    limit_ += ramping_ ? 1 : 1 / limit_;
+    limit_ = std::min(limit_, bound_);
+}
+
+auto concurrency_limit::on_overloaded(millis now) -> void
+{
+    decrease(now, overload_factor);
+}
+
+auto concurrency_limit::restart() -> void
+{
+    limit_ = 1;
+    ramping_ = true;
+    latency_ = {};
+}
+
+auto concurrency_limit::value() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::max(1.0, limit_));
+}
+
+auto concurrency_limit::latency() const -> const latency_estimate&
+{
+    return latency_;
+}
+
+auto concurrency_limit::decrease(millis now, double factor) -> void
+{
+    const millis round_trip{static_cast<std::int64_t>(latency_.recent())};
+    const auto interval = std::max(decrease_interval_min, round_trip);
+    if (now - last_decrease_ < interval)
+    {
+        return;
+    }
+    last_decrease_ = now;
+    ramping_ = false;
+    limit_ = std::max(1.0, limit_ * factor);
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/requests/limits/fair_queue.cpp
@@ -0,0 +1,110 @@
+#include "requests/limits/fair_queue.hpp"
+
+#include <algorithm>
+
+namespace briardrum
+{
+
+auto fair_queue::push(const request_id& id) -> void
+{
+    const auto& caller = id.flow.caller;
+    auto& own = waiting_of(caller);
+    own.push_back(id);
+    resize(caller, own.size() - 1, own.size());
+}
+
+auto fair_queue::push_front(const request_id& id) -> void
+{
+    const auto& caller = id.flow.caller;
+    auto& own = waiting_of(caller);
+    own.push_front(id);
+    resize(caller, own.size() - 1, own.size());
+}
+
+auto fair_queue::pop() -> request_id
+{
+    // The caller did not ask empty() first.
+    BRIARDRUM_INVARIANT(!turns_.empty());
+    const auto caller = turns_.front();
+    turns_.pop_front();
+    turns_.push_back(caller);
+    const auto id = callers_.at(caller).front();
+    erase(id);
+    return id;
+}
+
+auto fair_queue::erase(const request_id& id) -> void
+{
+    const auto caller = id.flow.caller;
+    const auto found = callers_.find(caller);
+    // The request is not in this queue.
+    BRIARDRUM_INVARIANT(found != callers_.end());
+    auto& own = found->second;
+    // Nearly always the first: requests expire in order of arrival.
+    const auto it = std::find(own.begin(), own.end(), id);
+    BRIARDRUM_INVARIANT(it != own.end());
+    own.erase(it);
+    resize(caller, own.size() + 1, own.size());
+    if (own.empty())
+    {
+        callers_.erase(found);
+        turns_.erase(std::find(turns_.begin(), turns_.end(), caller));
+    }
+}
+
+auto fair_queue::empty() const -> bool
+{
+    return size_ == 0;
+}
+
+auto fair_queue::size() const -> std::size_t
+{
+    return size_;
+}
+
+auto fair_queue::size(const endpoint& caller) const -> std::size_t
+{
+    const auto it = callers_.find(caller);
+    return it == callers_.end() ? 0 : it->second.size();
+}
+
+auto fair_queue::longest() const -> std::size_t
+{
+    return by_length_.empty() ? 0 : by_length_.rbegin()->first;
+}
+
+auto fair_queue::last_of_longest() const -> request_id
+{
+    // The caller did not ask longest() first.
+    BRIARDRUM_INVARIANT(!by_length_.empty());
+    return callers_.at(by_length_.rbegin()->second).back();
+}
+
+auto fair_queue::ahead_of(const endpoint& caller) const -> std::size_t
+{
+    const auto turns_before = size(caller) + 1;
+    return std::min(size_, turns_before * (callers_.size() + 1) - 1);
+}
+
+auto fair_queue::waiting_of(const endpoint& caller) -> waiting&
+{
+    const auto [it, added] = callers_.try_emplace(caller);
+    if (added)
+    {
+        turns_.push_back(caller);
+    }
+    return it->second;
+}
+
+auto fair_queue::resize(const endpoint& caller, std::size_t before,
+                        std::size_t after) -> void
+{
+    by_length_.erase({before, caller});
+    if (after > 0)
+    {
+        by_length_.insert({after, caller});
+    }
+    size_ = size_ + after - before;
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/tests/unit/cookie_test.cpp
@@ -0,0 +1,90 @@
+#include "requests/requests.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace briardrum;
+
+namespace
+{
+
+auto key(std::uint8_t id) -> cookie_key
+{
+    cookie_key out;
+    out.id = id;
+    out.secret.fill(id);
+    return out;
+}
+
+const flow_key flow{{0x0a000001, 4000}, 7};
+const cookie_claims claims{0x1122334455667788, 42, 3};
+
+} // namespace
+
+TEST_CASE("a cookie gives back its claims and fits an Echo option")
+{
+    const cookie_mint mint({key(1), key(2)});
+    const auto cookie = mint.make(claims, flow);
+    CHECK(cookie.size() <= 40);
+    const auto read = mint.verify(cookie, flow);
+    REQUIRE(read.ok());
+    CHECK(*read == claims);
+}
+
+TEST_CASE("a cookie is bound to its caller and service")
+{
+    const cookie_mint mint({key(1), key(2)});
+    const auto cookie = mint.make(claims, flow);
+    auto other_port = flow;
+    ++other_port.caller.port;
+    auto other_address = flow;
+    ++other_address.caller.address;
+    auto other_service = flow;
+    ++other_service.service;
+    for (const auto& other : {other_port, other_address, other_service})
+    {
+        CHECK(kind_of(mint.verify(cookie, other).status()) ==
+              error_kind::cookie_invalid);
+    }
+}
+
+TEST_CASE("a cookie with any bit changed does not verify")
+{
+    const cookie_mint mint({key(1), key(2)});
+    const auto cookie = mint.make(claims, flow);
+    for (std::size_t n = 0; n < cookie.size() * 8; ++n)
+    {
+        CAPTURE(n);
+        auto changed = cookie;
+        changed[n / 8] ^= static_cast<std::uint8_t>(1U << (n % 8));
+        CHECK_FALSE(mint.verify(changed, flow).ok());
+    }
+    for (std::size_t n = 0; n < cookie.size(); ++n)
+    {
+        CHECK_FALSE(mint.verify(byte_view(cookie).first(n), flow).ok());
+    }
+    auto longer = cookie;
+    longer.push_back(0);
+    CHECK_FALSE(mint.verify(longer, flow).ok());
+}
+
+TEST_CASE("keys rotate: the first signs, both verify, older ones do not")
+{
+    const auto before = cookie_mint({key(1), key(0)}).make(claims, flow);
+    const cookie_mint during({key(2), key(1)});
+    CHECK(during.verify(before, flow).ok());
+    const auto next = during.make(claims, flow);
+    CHECK(next.front() == 2);
+    const cookie_mint after({key(3), key(2)});
+    CHECK(after.verify(next, flow).ok());
+    CHECK_FALSE(after.verify(before, flow).ok());
+}
+
+TEST_CASE("without a signing key there is no cookie, and none verifies")
+{
+    const cookie_mint none({key(0), key(0)});
+    CHECK(none.make(claims, flow).empty());
+    // A cookie that names key 0 must not match the unused key.
+    auto forged = cookie_mint({key(1), key(0)}).make(claims, flow);
+    forged.front() = 0;
+    CHECK_FALSE(none.verify(forged, flow).ok());
+}
