--- a/modules/wire/messages/control_message.hpp
+++ b/modules/wire/messages/control_message.hpp
@@ -1,6 +1,7 @@
 #ifndef BRIARDRUM_WIRE_MESSAGES_CONTROL_MESSAGE_HPP
 #define BRIARDRUM_WIRE_MESSAGES_CONTROL_MESSAGE_HPP
 
+#include "config/model/configuration_change.hpp"
 #include "wire/messages/flow_record.hpp"
 #include "wire/messages/member_record.hpp"
 
@@ -59,14 +60,6 @@
     bool accepted = true;
 };
 
-// One stored value that changed. An empty value with removed set was deleted.
-struct configuration_change
-{
-    std::string key;
-    std::string value;
-    bool removed = false;
-};
-
 // Configuration from a peer: the changes that lead from one version to the
 // next. from_version 0 means the changes are a whole snapshot.
 struct configuration_message
