Checks, typed edits, differences and stored values of configurations

Cause: every change has to be checked whole before it is written, and has to reach thousands of daemons as a few hundred bytes. Weighed: one value for a whole preset. With thousands of services one edit of a policy would rewrite and spread all of them; each policy is a value of its own instead, and the keys of cookies stand apart from the root value that every change carries.

--- a/modules/config/config.hpp
+++ b/modules/config/config.hpp
@@ -7,11 +7,14 @@
 // Depends on: core.
 
 #include "config/edit/configuration_check.hpp"
+#include "config/edit/configuration_diff.hpp"
+#include "config/edit/configuration_edit.hpp"
 #include "config/model/configuration.hpp"
 #include "config/model/configuration_change.hpp"
 #include "config/model/preset.hpp"
 #include "config/model/service.hpp"
 #include "config/text/configuration_text.hpp"
+#include "config/text/configuration_values.hpp"
 #include "config/text/problem_list.hpp"
 
 #endif
