Agent meets the request engine: dropped arrivals and resets leave nothing open

Cause: an arrival that the engine has no room to remember left its exchange open; a reset of a running request was ignored. Ruled out: closing exchanges by a timer. Conclusion: every path out of on_request() closes what it opened.

--- a/modules/node/agent/request_path.cpp
+++ b/modules/node/agent/request_path.cpp
@@ -100,8 +100,12 @@
            {
                refuse(id, kind, retry_after);
            },
-           {},
-           context.hooks.events},
+           [](const request_id&, std::uint64_t)
+           {
+               // CoAP has no way to take a single request back.
+           },
+           context.hooks.events,
+           {}},
           seed),
       exchanges_(
           [this](const flow_key& flow, byte_view datagram)
@@ -177,6 +181,12 @@
     {
         exchanges_.repeat(id);
     }
+    if (result == arrival_result::dropped)
+    {
+        exchanges_.forget(id);
+        notes_.erase(id);
+        context_.counters.add(agent_counter::dropped);
+    }
     if (result == arrival_result::repeated)
     {
         context_.counters.add(agent_counter::repeated);
@@ -204,12 +214,20 @@
     {
         end_stream(about->id);
     }
+    const auto open = exchanges_.find_open(flow, view.message_id);
+    if (open.has_value())
+    {
+        engine_.cancel(now, *open);
+        exchanges_.forget(*open);
+        notes_.erase(*open);
+    }
 }
 
 auto request_path::on_server(millis now, const flow_key& flow,
                              byte_view datagram) -> void
 {
     now_ = now;
+    engine_.on_server_heard(now);
     const auto view = read_coap(datagram);
     if (!view.ok())
     {
@@ -262,6 +280,7 @@
 auto request_path::on_server_back(millis now) -> void
 {
     now_ = now;
+    engine_.on_server_ready(now);
     for (const auto& [token, row] : observes_.rows().rows())
     {
         send_registration(token, row);
--- a/modules/requests/exchanges/caller_exchanges.cpp
+++ b/modules/requests/exchanges/caller_exchanges.cpp
@@ -67,6 +67,20 @@
     return open_.find(id) != nullptr;
 }
 
+auto caller_exchanges::find_open(const flow_key& flow,
+                                 std::uint16_t message_id) const
+    -> std::optional<request_id>
+{
+    for (const auto& [id, exchange] : open_.rows())
+    {
+        if (id.flow == flow && id.message_id == message_id)
+        {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
 auto caller_exchanges::begin(millis now, const request_id& id, coap_type type)
     -> void
 {
--- a/modules/requests/exchanges/caller_exchanges.hpp
+++ b/modules/requests/exchanges/caller_exchanges.hpp
@@ -78,6 +78,10 @@
     // True between begin() and the answer.
     auto is_open(const request_id& id) const -> bool;
 
+    // The open request that came under this message id.
+    auto find_open(const flow_key& flow, std::uint16_t message_id) const
+        -> std::optional<request_id>;
+
     // A request arrived; type is that of the caller's datagram.
     auto begin(millis now, const request_id& id, coap_type type) -> void;
 
