--- a/modules/wire/coap/coap_edit.cpp
+++ b/modules/wire/coap/coap_edit.cpp
@@ -11,8 +11,6 @@
 constexpr std::size_t echo_bytes_max = 40;
 // An Observe sequence has 24 bits (RFC 7641, section 3.4).
 constexpr std::uint32_t observe_mask = 0xffffff;
-// Room for what an edit may add: a longer token, Echo and Observe.
-constexpr std::size_t edit_growth_max = 64;
 
 auto append_header(coap_type type, std::uint8_t code, std::uint16_t message_id,
                    byte_view token, byte_buffer& out) -> void
@@ -127,7 +125,7 @@
         return ec;
     }
     byte_buffer out;
-    out.reserve(datagram.size() + edit_growth_max);
+    out.reserve(datagram.size() + coap_edit_growth_max);
     append_header(edit.type.value_or(view->type), view->code,
                   edit.message_id.value_or(view->message_id),
                   edit.token.value_or(view->token), out);
@@ -141,10 +139,8 @@
     }
     merge.finish();
     writer.append_payload(reader.payload());
-    if (out.size() > coap_datagram_max)
-    {
-        return make_error(error_kind::oversize, "edited datagram too large");
-    }
+    // An edit adds more than it has room for.
+    BRIARDRUM_INVARIANT(out.size() <= datagram.size() + coap_edit_growth_max);
     return out;
 }
 
--- a/modules/wire/coap/coap_read.cpp
+++ b/modules/wire/coap/coap_read.cpp
@@ -158,6 +158,7 @@
     {
         return malformed("option or payload cut short");
     }
+    view.payload = reader.payload();
     return view;
 }
 
--- a/modules/wire/coap/coap_view.hpp
+++ b/modules/wire/coap/coap_view.hpp
@@ -49,6 +49,7 @@
     byte_view token;
     byte_view echo;
     byte_view request_tag;
+    byte_view payload;
     std::optional<std::uint32_t> observe;
     std::optional<coap_block> block1;
     std::optional<coap_block> block2;
@@ -87,7 +88,9 @@
     std::optional<std::uint32_t> observe;
 };
 
-// The datagram with the edit made, options in order.
+// The datagram with the edit made, options in order. It may be larger than
+// coap_datagram_max by coap_edit_growth_max: the edit of a datagram that
+// read_coap() accepts does not fail for its size.
 auto edit_coap(byte_view datagram, const coap_edit& edit)
     -> absl::StatusOr<byte_buffer>;
 
@@ -108,6 +111,9 @@
 // Largest datagram that we take from a caller or a server.
 constexpr std::size_t coap_datagram_max = 1472;
 
+// Room for what an edit may add: a longer token, Echo and Observe.
+constexpr std::size_t coap_edit_growth_max = 64;
+
 } // namespace briardrum
 
 #endif
