Membership: records, gossip, failure detection

A member's record moves forward only. Changes go to a rotation of neighbours a bounded number of times, relays chosen by rendezvous carry them between data centres, a slow walk over all records repairs the rest. Direct and indirect probes, suspicion, refutation; a paused or cut off process takes nobody for dead; one that was taken for dead goes on with a larger life.

A replaced process never heard of it, because answers went to the address of its successor; they go to where the sender says it is.

--- /dev/null
+++ b/modules/membership/failure/prober.cpp
@@ -0,0 +1,120 @@
+#include "membership/failure/prober.hpp"
+
+#include <utility>
+
+namespace briardrum
+{
+
+namespace
+{
+
+// Probes made for others at one time; more are ignored.
+constexpr std::size_t probes_for_others_max = 64;
+
+} // namespace
+
+prober::prober(member_id self, millis timeout, prober_hooks hooks)
+    : self_(self), timeout_(timeout), hooks_(std::move(hooks))
+{
+}
+
+auto prober::start(millis now, member_id subject) -> void
+{
+    const auto sequence = next_sequence_++;
+    own_.emplace(sequence, own_probe{subject, now + timeout_, false});
+    hooks_.send(subject, probe_message{sequence, subject});
+}
+
+auto prober::on_probe(millis now, member_id from, const probe_message& message)
+    -> void
+{
+    if (message.subject == self_)
+    {
+        hooks_.send(from, probe_ack_message{message.sequence, self_});
+        return;
+    }
+    if (for_others_.size() >= probes_for_others_max)
+    {
+        return;
+    }
+    const auto sequence = next_sequence_++;
+    if (hooks_.send(message.subject, probe_message{sequence, message.subject}))
+    {
+        for_others_.emplace(sequence,
+                            probe_for_other{message.subject, from,
+                                            message.sequence, now + timeout_});
+    }
+}
+
+auto prober::on_ack(millis, const probe_ack_message& message) -> void
+{
+    const auto own = own_.find(message.sequence);
+    if (own != own_.end() && own->second.subject == message.subject)
+    {
+        own_.erase(own);
+        return;
+    }
+    const auto it = for_others_.find(message.sequence);
+    if (it != for_others_.end() && it->second.subject == message.subject)
+    {
+        hooks_.send(
+            it->second.asker,
+            probe_ack_message{it->second.asker_sequence, it->second.subject});
+        for_others_.erase(it);
+    }
+}
+
+auto prober::tick(millis now) -> void
+{
+    std::erase_if(for_others_,
+                  [&](const auto& item)
+                  {
+                      return item.second.due <= now;
+                  });
+    std::vector<member_id> silent;
+    for (auto it = own_.begin(); it != own_.end();)
+    {
+        auto& [sequence, probe] = *it;
+        if (probe.due > now)
+        {
+            ++it;
+        }
+        else if (!probe.indirect)
+        {
+            go_indirect(now, sequence, probe);
+            ++it;
+        }
+        else
+        {
+            silent.push_back(probe.subject);
+            it = own_.erase(it);
+        }
+    }
+    for (const auto id : silent)
+    {
+        hooks_.failed(id);
+    }
+}
+
+auto prober::go_indirect(millis now, std::uint64_t sequence, own_probe& probe)
+    -> void
+{
+    probe.indirect = true;
+    probe.due = now + timeout_ * 2;
+    for (const auto helper : hooks_.helpers(probe.subject))
+    {
+        hooks_.send(helper, probe_message{sequence, probe.subject});
+    }
+}
+
+auto prober::restart(millis now) -> void
+{
+    for (auto& [sequence, probe] : own_)
+    {
+        probe.indirect = false;
+        probe.due = now + timeout_;
+        hooks_.send(probe.subject, probe_message{sequence, probe.subject});
+    }
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/membership/failure/prober.hpp
@@ -0,0 +1,76 @@
+#ifndef BRIARDRUM_MEMBERSHIP_FAILURE_PROBER_HPP
+#define BRIARDRUM_MEMBERSHIP_FAILURE_PROBER_HPP
+
+#include "core/core.hpp"
+#include "wire/messages/control_message.hpp"
+
+#include <functional>
+#include <map>
+#include <span>
+#include <vector>
+
+namespace briardrum
+{
+
+// What a prober asks of its owner.
+struct prober_hooks
+{
+    // Sends to a member; false when it is not known here.
+    std::function<bool(member_id, control_body)> send;
+    // Members that may be asked to probe this one.
+    std::function<std::vector<member_id>(member_id subject)> helpers;
+    // Neither the direct nor an indirect probe was answered in time.
+    std::function<void(member_id)> failed;
+};
+
+// Direct and indirect probes. A probe that is not answered within one timeout
+// is repeated through a few other members; after a second timeout it failed.
+class prober
+{
+public:
+    prober(member_id self, millis timeout, prober_hooks hooks);
+
+    // Probes a member directly.
+    auto start(millis now, member_id subject) -> void;
+
+    // Answers a probe, or probes a third member for the sender.
+    auto on_probe(millis now, member_id from, const probe_message& message)
+        -> void;
+    auto on_ack(millis now, const probe_ack_message& message) -> void;
+
+    auto tick(millis now) -> void;
+
+    // Gives every outstanding probe its full time again, from now: this
+    // process was paused, so answers may lie unread.
+    auto restart(millis now) -> void;
+
+private:
+    struct own_probe
+    {
+        member_id subject = 0;
+        millis due;
+        bool indirect = false;
+    };
+
+    struct probe_for_other
+    {
+        member_id subject = 0;
+        member_id asker = 0;
+        std::uint64_t asker_sequence = 0;
+        millis due;
+    };
+
+    auto go_indirect(millis now, std::uint64_t sequence, own_probe& probe)
+        -> void;
+
+    member_id self_;
+    millis timeout_;
+    prober_hooks hooks_;
+    std::uint64_t next_sequence_ = 1;
+    std::map<std::uint64_t, own_probe> own_;
+    std::map<std::uint64_t, probe_for_other> for_others_;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/membership/gossip/gossiper.cpp
@@ -0,0 +1,322 @@
+#include "membership/gossip/gossiper.hpp"
+
+#include "membership/gossip/relay_choice.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace briardrum
+{
+
+namespace
+{
+
+// Share of gossip messages that go to a random member anywhere, so that news
+// crosses data centres also while their relays are gone and not replaced.
+constexpr double leak_share = 0.05;
+
+// Share of anti-entropy messages that leave the data centre.
+constexpr double remote_repair_share = 0.25;
+
+// A message to a newcomer holds so many times more records than gossip.
+constexpr std::size_t records_per_snapshot_factor = 8;
+
+auto random_offset(random_source& random, millis span) -> millis
+{
+    return milliseconds(static_cast<std::int64_t>(
+        random.below(static_cast<std::uint64_t>(span.count))));
+}
+
+} // namespace
+
+gossiper::gossiper(const member_table& members, member_id self,
+                   std::vector<endpoint> start_addresses,
+                   const membership_settings& settings, send_hook send,
+                   std::uint64_t seed)
+    : members_(members), self_(self),
+      start_addresses_(std::move(start_addresses)), settings_(settings),
+      send_(std::move(send)), random_(seed)
+{
+    std::erase(start_addresses_, own().control_address);
+    next_round_ = random_offset(random_, settings_.gossip_interval);
+    next_repair_ = random_offset(random_, settings_.anti_entropy_interval);
+    repair_place_ = random_.below(1U << 20U);
+    asked_ = random_.below(1U << 10U);
+}
+
+auto gossiper::own() const -> const member_record&
+{
+    return *members_.find(self_);
+}
+
+auto gossiper::queue(member_id id) -> void
+{
+    changes_.add(id, sends_per_change());
+}
+
+auto gossiper::heard(member_id id) -> void
+{
+    changes_.heard(id);
+}
+
+auto gossiper::hurry() -> void
+{
+    next_round_ = {};
+}
+
+// A change sent n times by each member misses one member in e^n. The least
+// number serves members that do not know yet how many others there are.
+auto gossiper::sends_per_change() const -> send_counts
+{
+    const auto count = [](std::size_t n)
+    {
+        constexpr double sends_min = 12;
+        const auto sends = 2 * std::log(static_cast<double>(n) + 1);
+        return static_cast<std::uint32_t>(
+            std::ceil(std::max(sends, sends_min)));
+    };
+    const auto local = members_.live_in(own().data_centre).size();
+    const auto remote = members_.data_centres().size() - 1;
+    return {count(local), count(remote * relays_per_data_centre)};
+}
+
+auto gossiper::is_relay() const -> bool
+{
+    const auto& name = own().data_centre;
+    const auto relays = choose_relays(name, members_.live_in(name));
+    return std::find(relays.begin(), relays.end(), self_) != relays.end();
+}
+
+auto gossiper::tick(millis now) -> void
+{
+    if (next_round_ <= now)
+    {
+        round();
+        next_round_ = now + settings_.gossip_interval;
+    }
+    if (next_repair_ <= now)
+    {
+        repair_round();
+        reconnect_round();
+        next_repair_ = now + settings_.anti_entropy_interval;
+    }
+}
+
+auto gossiper::round() -> void
+{
+    for (std::uint32_t n = 0; n < settings_.gossip_fanout; ++n)
+    {
+        if (!changes_.any(gossip_scope::local))
+        {
+            break;
+        }
+        const auto leak = random_.chance(leak_share);
+        const auto* target = leak ? nullptr : next_neighbour();
+        if (target == nullptr)
+        {
+            target = pick(members_.live());
+        }
+        if (target != nullptr)
+        {
+            send_changes(target->control_address, gossip_scope::local);
+        }
+    }
+    relay_round();
+}
+
+// The next live member of the own data centre, or nullptr.
+auto gossiper::next_neighbour() -> const member_record*
+{
+    const auto refill = [this]() -> std::vector<member_id>
+    {
+        const auto ids = members_.live_in(own().data_centre);
+        return {ids.begin(), ids.end()};
+    };
+    const auto usable = [this](member_id id)
+    {
+        const auto* record = members_.find(id);
+        return id != self_ && record != nullptr && is_live(record->state);
+    };
+    return members_.find(rotation_.next(random_, refill, usable));
+}
+
+auto gossiper::relay_round() -> void
+{
+    if (!changes_.any(gossip_scope::remote) || !is_relay())
+    {
+        changes_.clear(gossip_scope::remote);
+        return;
+    }
+    for (std::uint32_t n = 0; n < settings_.gossip_fanout; ++n)
+    {
+        if (!changes_.any(gossip_scope::remote))
+        {
+            return;
+        }
+        const auto name = pick_data_centre();
+        if (name.empty())
+        {
+            return;
+        }
+        const auto relays = choose_relays(name, members_.live_in(name));
+        if (const auto* target = pick(relays); target != nullptr)
+        {
+            send_changes(target->control_address, gossip_scope::remote);
+        }
+    }
+}
+
+// Another data centre than the own one, or nothing.
+auto gossiper::pick_data_centre() -> std::string
+{
+    const auto& all = members_.data_centres();
+    if (all.size() < 2)
+    {
+        return {};
+    }
+    auto it = std::next(all.begin(),
+                        static_cast<long>(random_.below(all.size() - 1)));
+    if (it->first >= own().data_centre)
+    {
+        ++it;
+    }
+    return it == all.end() ? std::string{} : it->first;
+}
+
+auto gossiper::pick(std::span<const member_id> from) -> const member_record*
+{
+    constexpr int tries = 4;
+    for (int n = 0; n < tries && !from.empty(); ++n)
+    {
+        const auto id = from[random_.below(from.size())];
+        if (id != self_)
+        {
+            return members_.find(id);
+        }
+    }
+    return nullptr;
+}
+
+auto gossiper::send_changes(const endpoint& to, gossip_scope scope) -> void
+{
+    const auto ids = changes_.take(scope, settings_.records_per_message);
+    send_records(to, ids);
+}
+
+auto gossiper::send_records(const endpoint& to, std::span<const member_id> ids)
+    -> void
+{
+    auto message = collect(ids);
+    if (!message.records.empty())
+    {
+        send_(to, std::move(message));
+    }
+}
+
+auto gossiper::collect(std::span<const member_id> ids) const -> gossip_message
+{
+    gossip_message message;
+    for (const auto id : ids)
+    {
+        if (const auto* record = members_.find(id); record != nullptr)
+        {
+            message.records.push_back(*record);
+        }
+    }
+    return message;
+}
+
+auto gossiper::repair_round() -> void
+{
+    const auto remote = random_.chance(remote_repair_share);
+    const auto from =
+        remote ? members_.live() : members_.live_in(own().data_centre);
+    if (const auto* target = pick(from); target != nullptr)
+    {
+        send_records(target->control_address, repair_records());
+    }
+}
+
+// The next records of a walk over all of them, and the own one.
+auto gossiper::repair_records() -> std::vector<member_id>
+{
+    const auto all = members_.records();
+    const auto n =
+        std::min<std::size_t>(all.size(), settings_.records_per_message - 1);
+    std::vector<member_id> ids = {self_};
+    for (std::size_t i = 0; i < n; ++i)
+    {
+        repair_place_ = (repair_place_ + 1) % all.size();
+        if (all[repair_place_].id != self_)
+        {
+            ids.push_back(all[repair_place_].id);
+        }
+    }
+    return ids;
+}
+
+// Calls a start address or a dead member that may be there again, so that two
+// parts of the fleet that lost each other find together.
+auto gossiper::reconnect_round() -> void
+{
+    if (!is_relay())
+    {
+        return;
+    }
+    if (const auto address = pick_lost_address(); !address.is_none())
+    {
+        send_records(address, repair_records());
+    }
+}
+
+auto gossiper::pick_lost_address() -> endpoint
+{
+    std::vector<endpoint> lost = start_addresses_;
+    for (const auto& record : members_.records())
+    {
+        if (is_live(record.state))
+        {
+            std::erase(lost, record.control_address);
+        }
+        else if (record.state == member_state::dead)
+        {
+            lost.push_back(record.control_address);
+        }
+    }
+    return lost.empty() ? endpoint{} : lost[random_.below(lost.size())];
+}
+
+auto gossiper::send_all(const endpoint& to) -> void
+{
+    const auto all = members_.records();
+    const auto per_message =
+        settings_.records_per_message * records_per_snapshot_factor;
+    for (std::size_t n = 0; n < all.size(); n += per_message)
+    {
+        const auto part = all.subspan(n, std::min(per_message, all.size() - n));
+        send_(to, gossip_message{{part.begin(), part.end()}, false});
+    }
+}
+
+auto gossiper::ask_for_all() -> endpoint
+{
+    endpoint to;
+    const auto* known = pick(members_.live());
+    const auto use_start = known == nullptr || random_.chance(0.5);
+    if (use_start && !start_addresses_.empty())
+    {
+        to = start_addresses_[asked_++ % start_addresses_.size()];
+    }
+    else if (known != nullptr)
+    {
+        to = known->control_address;
+    }
+    if (!to.is_none())
+    {
+        send_(to, gossip_message{{own()}, true});
+    }
+    return to;
+}
+
+} // namespace briardrum
--- a/modules/membership/member_view.hpp
+++ b/modules/membership/member_view.hpp
@@ -2,9 +2,14 @@
 #define BRIARDRUM_MEMBERSHIP_MEMBER_VIEW_HPP
 
 #include "core/core.hpp"
+#include "membership/failure/failure_detector.hpp"
+#include "membership/gossip/gossiper.hpp"
+#include "membership/membership_settings.hpp"
+#include "membership/records/member_table.hpp"
 #include "wire/wire.hpp"
 
 #include <functional>
+#include <map>
 #include <span>
 #include <string>
 #include <vector>
@@ -12,29 +17,14 @@
 namespace briardrum
 {
 
-// Times and sizes of gossip and failure detection.
-struct membership_settings
-{
-    millis gossip_interval = milliseconds(200);
-    millis probe_interval = milliseconds(500);
-    millis probe_timeout = milliseconds(300);
-    // How long a suspect may refute before it counts as dead.
-    millis suspicion_timeout = seconds(2);
-    // How long a dead or departed member's record is kept, so that an old
-    // claim cannot bring it back.
-    millis forget_after = minutes(10);
-    std::uint32_t gossip_fanout = 3;
-    std::uint32_t indirect_probes = 2;
-    // Records in one gossip message.
-    std::uint32_t records_per_message = 24;
-};
-
 // What a member_view needs from its process.
 struct membership_hooks
 {
     // Sends to a control address; delivery is not promised.
     std::function<void(const endpoint&, const control_message&)> send;
-    // A record changed; before is nullptr for a new member.
+    // A record changed; before is nullptr for a new member. The own record
+    // comes here too: a larger life in it means that this process was taken
+    // for dead and goes on as a new incarnation.
     std::function<void(const member_record& after, const member_record* before)>
         changed;
     event_sink events;
@@ -49,9 +39,12 @@
 class member_view
 {
 public:
-    member_view(member_record self, std::vector<endpoint> start_addresses,
+    member_view(const member_record& self,
+                std::vector<endpoint> start_addresses,
                 membership_settings settings, membership_hooks hooks,
                 std::uint64_t seed);
+    member_view(const member_view&) = delete;
+    auto operator=(const member_view&) -> member_view& = delete;
 
     // Handles gossip, probes and probe answers; false for other kinds.
     auto on_control(millis now, const control_message& message) -> bool;
@@ -63,10 +56,21 @@
     auto set_state(millis now, member_state state) -> void;
     auto set_weight(millis now, std::uint8_t weight_percent) -> void;
     auto set_slots(millis now, std::uint32_t slots) -> void;
+
+    // The newest configuration held. It changes on every process at once, so
+    // it raises no version and goes out with whatever is sent next.
     auto set_holds(millis now, configuration_version version) -> void;
 
     auto self() const -> const member_record&;
 
+    // True when another process, at another address, goes by this member's
+    // name with a later life. This process then says nothing more; it should
+    // end.
+    auto is_replaced() const -> bool;
+
+    // True when nothing was heard from any other member for a while.
+    auto is_isolated(millis now) const -> bool;
+
     // The record of a member, or nullptr when it is not known.
     auto find(member_id id) const -> const member_record*;
 
@@ -84,7 +88,53 @@
     auto epoch() const -> std::uint64_t;
 
 private:
-    member_record self_;
+    template <typename Change>
+    auto change_self(Change change) -> void;
+    auto on_gossip(millis now, const control_message& message,
+                   const gossip_message& gossip) -> void;
+    auto address_of_sender(member_id from, const gossip_message& gossip) const
+        -> endpoint;
+    auto on_claim(millis now, const member_record& claim, bool spread)
+        -> merge_outcome;
+    auto on_claim_about_self(const member_record& claim) -> void;
+    auto refute(const member_record& claim) -> void;
+    auto raise_life(const member_record& claim) -> void;
+    auto claim_state(millis now, member_id id, member_state state) -> void;
+    auto after_change(millis now, const merge_result& result, member_id id,
+                      bool spread) -> void;
+    auto report_change(const member_record& after, const member_record* before)
+        -> void;
+    auto tell_sender_its_state(millis now, const control_message& message)
+        -> void;
+    auto notice_pause(millis now) -> void;
+    auto notice_sender(millis now, member_id from) -> void;
+    auto join(millis now) -> void;
+    auto notice_answer(const endpoint& from) -> void;
+    auto resynchronise() -> void;
+    auto forget(millis now) -> void;
+    auto send_to(const endpoint& to, control_body body) -> void;
+    auto send_to(member_id id, control_body body) -> bool;
+
+    member_id self_;
+    membership_settings settings_;
+    membership_hooks hooks_;
+    random_source random_;
+    member_table members_;
+    gossiper gossiper_;
+    failure_detector failure_;
+    // When each member that left or died was found so.
+    std::map<member_id, millis> ended_;
+    // When a member was last told what is believed of it.
+    std::map<member_id, millis> told_;
+    millis last_active_;
+    millis last_heard_;
+    millis next_join_;
+    millis next_forget_;
+    bool active_ = false;
+    // Whom this newcomer asked for everything, and how many answered.
+    endpoint asked_;
+    std::uint32_t answers_ = 0;
+    bool replaced_ = false;
 };
 
 } // namespace briardrum
--- a/modules/membership/membership.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "membership/membership.hpp"
--- /dev/null
+++ b/modules/membership/records/member_rotation.hpp
@@ -0,0 +1,31 @@
+#ifndef BRIARDRUM_MEMBERSHIP_RECORDS_MEMBER_ROTATION_HPP
+#define BRIARDRUM_MEMBERSHIP_RECORDS_MEMBER_ROTATION_HPP
+
+#include "core/core.hpp"
+
+#include <functional>
+#include <vector>
+
+namespace briardrum
+{
+
+// Deals out members in random order, each once before any comes again, so
+// that the time until a member gets its turn is bounded.
+class member_rotation
+{
+public:
+    // The next member that usable() accepts, or 0. refill() gives the members
+    // of the next round.
+    auto next(random_source& random,
+              const std::function<std::vector<member_id>()>& refill,
+              const std::function<bool(member_id)>& usable) -> member_id;
+
+private:
+    auto take(const std::function<bool(member_id)>& usable) -> member_id;
+
+    std::vector<member_id> order_;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/membership/records/member_table.cpp
@@ -0,0 +1,231 @@
+#include "membership/records/member_table.hpp"
+
+#include <algorithm>
+
+namespace briardrum
+{
+
+namespace
+{
+
+using id_list = std::vector<member_id>;
+
+auto insert_sorted(id_list& ids, member_id id) -> void
+{
+    ids.insert(std::lower_bound(ids.begin(), ids.end(), id), id);
+}
+
+auto erase_sorted(id_list& ids, member_id id) -> void
+{
+    const auto it = std::lower_bound(ids.begin(), ids.end(), id);
+    if (it != ids.end() && *it == id)
+    {
+        ids.erase(it);
+    }
+}
+
+auto erase_sorted(std::map<std::string, id_list>& lists, const std::string& key,
+                  member_id id) -> void
+{
+    const auto it = lists.find(key);
+    if (it == lists.end())
+    {
+        return;
+    }
+    erase_sorted(it->second, id);
+    if (it->second.empty())
+    {
+        lists.erase(it);
+    }
+}
+
+auto find_list(const std::map<std::string, id_list>& lists,
+               const std::string& key) -> std::span<const member_id>
+{
+    const auto it = lists.find(key);
+    return it == lists.end() ? std::span<const member_id>{} : it->second;
+}
+
+// True when the two differ in nothing that routing reads.
+auto same_for_routing(const member_record& a, const member_record& b) -> bool
+{
+    auto copy = a;
+    copy.version = b.version;
+    copy.holds = b.holds;
+    return copy == b;
+}
+
+} // namespace
+
+auto is_live(member_state state) -> bool
+{
+    return state < member_state::left;
+}
+
+member_table::member_table(const member_record& first)
+{
+    add(first);
+}
+
+auto member_table::add(const member_record& record) -> void
+{
+    places_.emplace(record.id, records_.size());
+    records_.push_back(record);
+    add_to_indices(record);
+    ++epoch_;
+}
+
+auto member_table::merge(const member_record& claim) -> merge_result
+{
+    const auto it = places_.find(claim.id);
+    if (it == places_.end())
+    {
+        if (!is_live(claim.state))
+        {
+            return {merge_outcome::unknown_and_final, {}};
+        }
+        add(claim);
+        return {merge_outcome::taken, {}};
+    }
+    auto& known = records_[it->second];
+    if (supersedes(claim, known))
+    {
+        auto before = known;
+        replace(known, claim);
+        return {merge_outcome::taken, std::move(before)};
+    }
+    if (supersedes(known, claim))
+    {
+        return {merge_outcome::older, {}};
+    }
+    known.holds = std::max(known.holds, claim.holds);
+    return {merge_outcome::repeated, {}};
+}
+
+auto member_table::replace(member_record& known, const member_record& claim)
+    -> void
+{
+    // A claim that does not supersede the known record got past merge().
+    BRIARDRUM_INVARIANT(claim.id == known.id && supersedes(claim, known));
+    const auto holds = claim.life == known.life
+                           ? std::max(known.holds, claim.holds)
+                           : claim.holds;
+    if (!same_for_routing(known, claim))
+    {
+        remove_from_indices(known);
+        known = claim;
+        add_to_indices(known);
+        ++epoch_;
+    }
+    known.version = claim.version;
+    known.holds = holds;
+}
+
+auto member_table::erase(std::span<const member_id> ids) -> void
+{
+    if (ids.empty())
+    {
+        return;
+    }
+    id_list sorted(ids.begin(), ids.end());
+    std::sort(sorted.begin(), sorted.end());
+    std::erase_if(
+        records_,
+        [&](const member_record& record)
+        {
+            if (!std::binary_search(sorted.begin(), sorted.end(), record.id))
+            {
+                return false;
+            }
+            remove_from_indices(record);
+            return true;
+        });
+    places_.clear();
+    for (std::size_t n = 0; n < records_.size(); ++n)
+    {
+        places_.emplace(records_[n].id, n);
+    }
+    ++epoch_;
+}
+
+auto member_table::add_to_indices(const member_record& record) -> void
+{
+    if (!is_live(record.state))
+    {
+        return;
+    }
+    insert_sorted(live_, record.id);
+    insert_sorted(data_centres_[record.data_centre], record.id);
+    if (record.kind == member_kind::balancer)
+    {
+        insert_sorted(balancers_, record.id);
+    }
+    else
+    {
+        insert_sorted(agents_[record.service_name], record.id);
+    }
+}
+
+auto member_table::remove_from_indices(const member_record& record) -> void
+{
+    if (!is_live(record.state))
+    {
+        return;
+    }
+    erase_sorted(live_, record.id);
+    erase_sorted(data_centres_, record.data_centre, record.id);
+    if (record.kind == member_kind::balancer)
+    {
+        erase_sorted(balancers_, record.id);
+    }
+    else
+    {
+        erase_sorted(agents_, record.service_name, record.id);
+    }
+}
+
+auto member_table::find(member_id id) const -> const member_record*
+{
+    const auto it = places_.find(id);
+    return it == places_.end() ? nullptr : &records_[it->second];
+}
+
+auto member_table::records() const -> std::span<const member_record>
+{
+    return records_;
+}
+
+auto member_table::agents_of(const std::string& service_name) const
+    -> std::span<const member_id>
+{
+    return find_list(agents_, service_name);
+}
+
+auto member_table::balancers() const -> std::span<const member_id>
+{
+    return balancers_;
+}
+
+auto member_table::live_in(const std::string& data_centre) const
+    -> std::span<const member_id>
+{
+    return find_list(data_centres_, data_centre);
+}
+
+auto member_table::live() const -> std::span<const member_id>
+{
+    return live_;
+}
+
+auto member_table::data_centres() const
+    -> const std::map<std::string, std::vector<member_id>>&
+{
+    return data_centres_;
+}
+
+auto member_table::epoch() const -> std::uint64_t
+{
+    return epoch_;
+}
+
+} // namespace briardrum
