Requests: engine in small files, limit tests, randomised run

tests/unit/requests_random_test.cpp runs 40 seeds of 60 s virtual time each against a server that answers late, crossed, never, twice, or sheds, is lost and comes back; with copies, cancellation and a hand-over of every flow at the end. Its checks stand outside the engine: a non-repeatable request executes at most once, 'not run' is never said of one executed before or after, an answer is that of its own request.

--- /dev/null
+++ b/modules/requests/engine/admission.cpp
@@ -0,0 +1,162 @@
+#include "requests/engine/engine_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briardrum
+{
+
+namespace
+{
+
+// Longest that a caller's own deadline may be.
+constexpr millis deadline_max = minutes(4);
+// Longest that a request waits for the server to have room.
+constexpr millis queue_time_max = seconds(30);
+// Refused callers are told to come back after this, and up to twice as long.
+constexpr millis retry_after_min = seconds(1);
+constexpr millis retry_after_max = seconds(60);
+
+} // namespace
+
+engine_state::engine_state(request_hooks given, std::uint64_t seed,
+                           request_bounds limits)
+    : hooks(std::move(given)), random(seed), bounds(limits)
+{
+    limit.set_slots(0);
+}
+
+auto engine_state::arrive(millis now, const request_arrival& arrival)
+    -> arrival_result
+{
+    if (requests.find(arrival.id) != nullptr)
+    {
+        return arrival_result::in_progress;
+    }
+    if (repeat(now, arrival.id))
+    {
+        return arrival_result::repeated;
+    }
+    if (memory_owed() > bounds.answer_bytes + bounds.refusal_bytes)
+    {
+        ++counters.dropped;
+        return arrival_result::dropped;
+    }
+    ++counters.arrived;
+    budget.deposit();
+    auto kind = reason_to_refuse(now, arrival);
+    if (kind == error_kind::none && !make_room(now, arrival))
+    {
+        kind = error_kind::overloaded;
+    }
+    add(now, arrival);
+    if (kind != error_kind::none)
+    {
+        refuse(now, arrival.id, kind);
+        return arrival_result::refused;
+    }
+    queue.push(arrival.level, arrival.id);
+    dispatch(now);
+    return arrival_result::accepted;
+}
+
+auto engine_state::repeat(millis now, const request_id& id) -> bool
+{
+    const auto* kept = requests.finished(now, id);
+    if (kept == nullptr)
+    {
+        return false;
+    }
+    ++counters.repeated;
+    if (kept->kind == error_kind::none)
+    {
+        hooks.answer(id, kept->answer);
+        return true;
+    }
+    hooks.refuse(id, kept->kind, retry_after(urgency::normal, id.flow.caller));
+    return true;
+}
+
+auto engine_state::add(millis now, const request_arrival& arrival) -> void
+{
+    active_request row;
+    row.repeatable = arrival.repeatable;
+    row.level = arrival.level;
+    row.arrived = now;
+    row.deadline = now + time_left_of(arrival);
+    row.timer = std::min(row.deadline, now + queue_time_max);
+    row.datagram = to_buffer(arrival.datagram);
+    requests.add(now, arrival.id, std::move(row));
+}
+
+auto engine_state::reason_to_refuse(millis now,
+                                    const request_arrival& arrival) const
+    -> error_kind
+{
+    const auto waiting = requests.datagram_bytes() + arrival.datagram.size();
+    if (memory_owed() > bounds.answer_bytes || waiting > bounds.queue_bytes)
+    {
+        return error_kind::overloaded;
+    }
+    if (room_to_run(now) && queue.size() == 0)
+    {
+        return error_kind::none;
+    }
+    const auto wait = estimated_wait(arrival.level, arrival.id.flow.caller);
+    const millis run{std::llround(limit.latency().recent())};
+    if (wait + run > time_left_of(arrival))
+    {
+        return error_kind::deadline_too_short;
+    }
+    return wait > queue_time_max ? error_kind::overloaded : error_kind::none;
+}
+
+auto engine_state::make_room(millis now, const request_arrival& arrival) -> bool
+{
+    if (!queue.is_full())
+    {
+        return true;
+    }
+    const auto victim = queue.victim_for(arrival.level, arrival.id.flow.caller);
+    if (!victim)
+    {
+        return false;
+    }
+    queue.erase(requests.find(*victim)->level, *victim);
+    refuse(now, *victim, error_kind::overloaded);
+    return true;
+}
+
+auto engine_state::time_left_of(const request_arrival& arrival) const -> millis
+{
+    const auto given = arrival.time_left.count > 0 ? arrival.time_left
+                                                   : policy.default_deadline;
+    return std::min(given, deadline_max);
+}
+
+auto engine_state::estimated_wait(urgency level, const endpoint& caller) const
+    -> millis
+{
+    const auto ahead = static_cast<double>(queue.ahead_of(level, caller) + 1);
+    const auto at_once = static_cast<double>(limit.value());
+    const auto wait = ahead * limit.latency().recent() / at_once;
+    return {std::llround(wait)};
+}
+
+auto engine_state::retry_after(urgency level, const endpoint& caller) -> millis
+{
+    const auto wait = estimated_wait(level, caller);
+    const auto base = std::clamp(wait, retry_after_min, retry_after_max);
+    const auto jitter = random.below(static_cast<std::uint64_t>(base.count));
+    return base + millis{static_cast<std::int64_t>(jitter)};
+}
+
+auto engine_state::memory_owed() const -> std::size_t
+{
+    // One more than are in progress: the newcomer.
+    const auto each = answer_store::cost(coap_datagram_max);
+    const auto owed = (requests.in_progress() + 1) * each;
+    return requests.store().bytes() + owed;
+}
+
+} // namespace briardrum
--- a/modules/requests/limits/concurrency_limit.cpp
+++ b/modules/requests/limits/concurrency_limit.cpp
@@ -51,6 +51,12 @@
     decrease(now, overload_factor);
 }
 
+auto concurrency_limit::on_timed_out(millis now, millis waited) -> void
+{
+    latency_.add(waited);
+    decrease(now, overload_factor);
+}
+
 auto concurrency_limit::restart() -> void
 {
     limit_ = 1;
--- a/modules/requests/limits/concurrency_limit.hpp
+++ b/modules/requests/limits/concurrency_limit.hpp
@@ -23,6 +23,9 @@
     // The server shed a request.
     auto on_overloaded(millis now) -> void;
 
+    // The server gave no answer in this time, and none is awaited any more.
+    auto on_timed_out(millis now, millis waited) -> void;
+
     // The server is gone: ramp up again when it is back.
     auto restart() -> void;
 
--- /dev/null
+++ b/tests/unit/requests_limits_test.cpp
@@ -0,0 +1,238 @@
+#include "tests/unit/requests_fixture.hpp"
+
+#include "requests/limits/concurrency_limit.hpp"
+#include "requests/limits/retry_budget.hpp"
+#include "requests/limits/urgency_queue.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace briardrum;
+using briardrum::tests::requests_fixture;
+
+TEST_CASE("the limit ramps up from one and never goes above the slots")
+{
+    concurrency_limit limit;
+    limit.set_slots(5);
+    CHECK(limit.value() == 1);
+    millis now;
+    std::size_t before = 1;
+    for (int n = 0; n < 100; ++n)
+    {
+        now += milliseconds(10);
+        limit.on_answered(now, milliseconds(10), limit.value());
+        CHECK(limit.value() <= before + 1);
+        CHECK(limit.value() <= 5);
+        before = limit.value();
+    }
+    CHECK(limit.value() == 5);
+    limit.set_slots(2);
+    CHECK(limit.value() == 2);
+}
+
+TEST_CASE("the limit falls when the server sheds, at least one stays")
+{
+    concurrency_limit limit;
+    limit.set_slots(8);
+    millis now;
+    for (int n = 0; n < 20; ++n)
+    {
+        limit.on_answered(now, milliseconds(10), limit.value());
+    }
+    REQUIRE(limit.value() == 8);
+    // Several at one moment are one decrease.
+    limit.on_overloaded(now);
+    limit.on_overloaded(now);
+    CHECK(limit.value() == 5);
+    for (int n = 0; n < 50; ++n)
+    {
+        now += seconds(1);
+        limit.on_overloaded(now);
+    }
+    CHECK(limit.value() == 1);
+    for (int n = 0; n < 200; ++n)
+    {
+        limit.on_answered(now, milliseconds(10), limit.value());
+    }
+    CHECK(limit.value() == 8);
+}
+
+TEST_CASE("the limit falls when the server slows against its own baseline")
+{
+    concurrency_limit limit;
+    limit.set_slots(8);
+    millis now;
+    for (int n = 0; n < 500; ++n)
+    {
+        now += milliseconds(10);
+        limit.on_answered(now, milliseconds(10), limit.value());
+    }
+    REQUIRE(limit.value() == 8);
+    std::size_t lowest = 8;
+    for (int n = 0; n < 100; ++n)
+    {
+        now += milliseconds(50);
+        limit.on_answered(now, milliseconds(50), limit.value());
+        lowest = std::min(lowest, limit.value());
+    }
+    CHECK(lowest < 8);
+}
+
+TEST_CASE("retries stay a share of the requests that arrive")
+{
+    retry_budget budget;
+    budget.set_percent(10);
+    CHECK_FALSE(budget.withdraw());
+    int allowed = 0;
+    for (int n = 0; n < 1000; ++n)
+    {
+        budget.deposit();
+        allowed += budget.withdraw() ? 1 : 0;
+    }
+    CHECK(allowed == 100);
+    budget.set_percent(0);
+    CHECK_FALSE(budget.withdraw());
+}
+
+TEST_CASE("urgent work goes first, and no flood of it starves the rest")
+{
+    urgency_queue queue;
+    queue.set_limit(10000);
+    std::uint16_t message = 0;
+    for (std::uint16_t n = 0; n < 1000; ++n)
+    {
+        queue.push(urgency::urgent, requests_fixture::id_of(1, ++message));
+        queue.push(urgency::normal, requests_fixture::id_of(2, ++message));
+        queue.push(urgency::bulk, requests_fixture::id_of(3, ++message));
+    }
+    std::array<int, 4> served{};
+    for (int n = 0; n < 1000; ++n)
+    {
+        const auto id = queue.pop();
+        ++served.at(id.flow.caller.port);
+    }
+    CHECK(served[1] >= 600);
+    CHECK(served[2] >= 180);
+    CHECK(served[3] >= 90);
+}
+
+TEST_CASE("a full queue keeps room for each urgency, and urgent takes the rest")
+{
+    urgency_queue queue;
+    queue.set_limit(100);
+    for (std::uint16_t n = 0; n < 100; ++n)
+    {
+        queue.push(urgency::urgent, requests_fixture::id_of(1, n));
+    }
+    REQUIRE(queue.is_full());
+    const endpoint newcomer{1, 1};
+    const auto victim = queue.victim_for(urgency::bulk, newcomer);
+    REQUIRE(victim.has_value());
+    CHECK(victim->flow.caller.port == 1);
+    // Within its own urgency a caller with little displaces the one with most.
+    CHECK(queue.victim_for(urgency::urgent, newcomer) == victim);
+    CHECK_FALSE(queue.victim_for(urgency::urgent, victim->flow.caller));
+
+    urgency_queue bulk;
+    bulk.set_limit(100);
+    for (std::uint16_t n = 0; n < 100; ++n)
+    {
+        bulk.push(urgency::bulk, requests_fixture::id_of(n, n));
+    }
+    CHECK(bulk.victim_for(urgency::urgent, newcomer).has_value());
+    CHECK(bulk.victim_for(urgency::normal, newcomer).has_value());
+    CHECK_FALSE(bulk.victim_for(urgency::bulk, newcomer).has_value());
+}
+
+TEST_CASE("callers of one urgency take turns")
+{
+    requests_fixture f;
+    f.occupy();
+    for (std::uint16_t n = 0; n < 50; ++n)
+    {
+        f.arrive(1, n, false);
+    }
+    f.arrive(2, 1000, false);
+    f.arrive(3, 1001, false);
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        f.answer(f.dispatches[n].token);
+    }
+    std::set<std::uint16_t> callers;
+    for (std::size_t n = 3; n < 6; ++n)
+    {
+        callers.insert(f.dispatches[n].id.flow.caller.port);
+    }
+    CHECK(callers == std::set<std::uint16_t>{1, 2, 3});
+}
+
+TEST_CASE("a full queue refuses as not run, and a later copy does not run")
+{
+    requests_fixture f;
+    service_policy policy;
+    policy.queue_limit = 10;
+    f.engine.set_policy(policy);
+    f.occupy();
+    std::uint16_t refused = 0;
+    for (std::uint16_t n = 0; n < 20; ++n)
+    {
+        refused += f.arrive(n, n, false) == arrival_result::refused ? 1 : 0;
+    }
+    CHECK(refused == 10);
+    CHECK(f.refusals.size() == 10);
+    for (const auto& refusal : f.refusals)
+    {
+        CHECK(refusal.kind == error_kind::overloaded);
+    }
+    const auto before = f.dispatches.size();
+    CHECK(f.arrive(19, 19, false) == arrival_result::repeated);
+    CHECK(f.dispatches.size() == before);
+}
+
+TEST_CASE("refused callers are told to come back at different times")
+{
+    requests_fixture f;
+    service_policy policy;
+    policy.queue_limit = 1;
+    f.engine.set_policy(policy);
+    f.occupy();
+    std::set<millis> times;
+    for (std::uint16_t n = 0; n < 100; ++n)
+    {
+        f.arrive(n, n, false);
+    }
+    for (const auto& refusal : f.refusals)
+    {
+        CHECK(refusal.retry_after >= seconds(1));
+        CHECK(refusal.retry_after <= seconds(120));
+        times.insert(refusal.retry_after);
+    }
+    CHECK(times.size() > 50);
+}
+
+TEST_CASE("under memory pressure new requests are refused, ids never forgotten")
+{
+    request_bounds bounds;
+    bounds.answer_bytes = 40000;
+    bounds.refusal_bytes = 10000;
+    requests_fixture f(bounds);
+    std::array<std::size_t, 5> results{};
+    for (std::uint16_t n = 0; n < 1000; ++n)
+    {
+        const auto result = f.arrive(1, n, false);
+        ++results.at(static_cast<std::size_t>(result));
+        if (result == arrival_result::accepted)
+        {
+            f.answer_last();
+        }
+        CHECK(f.engine.kept_bytes() <= 50000);
+    }
+    CHECK(results[static_cast<std::size_t>(arrival_result::accepted)] > 0);
+    CHECK(results[static_cast<std::size_t>(arrival_result::refused)] > 0);
+    CHECK(results[static_cast<std::size_t>(arrival_result::dropped)] > 0);
+    CHECK(f.answers.size() == f.dispatches.size());
+    CHECK(f.arrive(1, 0, false) == arrival_result::repeated);
+    f.advance(seconds(248));
+    CHECK(f.arrive(1, 999, false) == arrival_result::accepted);
+}
--- /dev/null
+++ b/tests/unit/requests_random_test.cpp
@@ -0,0 +1,313 @@
+#include "requests/requests.hpp"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <set>
+
+using namespace briardrum;
+
+namespace
+{
+
+constexpr std::uint32_t slots = 5;
+
+// What the run knows of one request, seen from outside the engine.
+struct witness
+{
+    request_id id;
+    bool repeatable = false;
+    std::uint32_t executed = 0;
+    std::uint32_t told_not_run = 0;
+    std::uint32_t answered = 0;
+    std::uint32_t told_unknown = 0;
+    bool cancelled = false;
+};
+
+// A run at the server that is not answered yet.
+struct server_run
+{
+    std::uint64_t token = 0;
+    request_id id;
+    millis answers_at;
+};
+
+// Callers, an engine and a server that answers late, crossed, never, twice,
+// or sheds; all from one seed on virtual time.
+class random_run
+{
+public:
+    explicit random_run(std::uint64_t seed) : random_(seed), engine_(hooks(), 1)
+    {
+        service_policy policy;
+        policy.queue_limit = 40;
+        policy.default_deadline = seconds(3);
+        engine_.set_policy(policy);
+        engine_.set_slots(slots);
+    }
+
+    auto run() -> void
+    {
+        while (now_ < seconds(60))
+        {
+            now_ += milliseconds(5);
+            change_mood();
+            send_requests();
+            send_copy();
+            cancel_one();
+            answer_some();
+            engine_.tick(now_);
+        }
+        finish();
+    }
+
+private:
+    auto hooks() -> request_hooks
+    {
+        request_hooks out;
+        out.dispatch =
+            [this](const request_id& id, std::uint64_t token, byte_view)
+        {
+            on_dispatch(id, token);
+        };
+        out.answer = [this](const request_id& id, byte_view answer)
+        {
+            on_answer(id, answer);
+        };
+        out.refuse = [this](const request_id& id, error_kind kind, millis)
+        {
+            on_refuse(id, kind);
+        };
+        out.cancel = [](const request_id&, std::uint64_t) {};
+        return out;
+    }
+
+    auto on_dispatch(const request_id& id, std::uint64_t token) -> void
+    {
+        auto& seen = seen_.at(id);
+        // Nothing runs after "not run" was said, after its answer, or after
+        // its outcome was given up.
+        REQUIRE(seen.told_not_run == 0);
+        REQUIRE(seen.answered == 0);
+        REQUIRE(seen.told_unknown == 0);
+        if (mood_ == 2 && random_.chance(0.7))
+        {
+            sheds_.push_back(token);
+            return;
+        }
+        ++seen.executed;
+        REQUIRE((seen.repeatable || seen.executed == 1));
+        REQUIRE(seen.executed <= 3);
+        // Mood 3 is a server that never answers.
+        const auto never = mood_ == 3 || random_.chance(0.01);
+        const auto late = static_cast<std::int64_t>(random_.below(60));
+        const auto slow = mood_ == 1 ? 40 : 1;
+        runs_.push_back(
+            {token, id,
+             never ? minutes(60) : now_ + milliseconds(10 + late * slow)});
+    }
+
+    auto on_answer(const request_id& id, byte_view answer) -> void
+    {
+        auto& seen = seen_.at(id);
+        ++seen.answered;
+        REQUIRE(answer.size() == sizeof(id.token));
+        std::uint64_t token = 0;
+        std::copy(answer.begin(), answer.end(),
+                  reinterpret_cast<std::uint8_t*>(&token));
+        // The whole answer to its own request.
+        REQUIRE(token == id.token);
+        REQUIRE(seen.executed > 0);
+        REQUIRE(seen.told_not_run == 0);
+        REQUIRE(seen.told_unknown == 0);
+    }
+
+    auto on_refuse(const request_id& id, error_kind kind) -> void
+    {
+        auto& seen = seen_.at(id);
+        REQUIRE(seen.answered == 0);
+        if (answer_for(kind).not_run)
+        {
+            REQUIRE(seen.executed == 0);
+            ++seen.told_not_run;
+            return;
+        }
+        REQUIRE(seen.told_not_run == 0);
+        ++seen.told_unknown;
+    }
+
+    auto change_mood() -> void
+    {
+        if (random_.chance(0.002))
+        {
+            mood_ = random_.below(4);
+        }
+        if (random_.chance(0.0005))
+        {
+            runs_.clear();
+            sheds_.clear();
+            engine_.on_server_lost(now_);
+        }
+        if (random_.chance(0.005))
+        {
+            engine_.on_server_ready(now_);
+        }
+    }
+
+    auto send_requests() -> void
+    {
+        const auto count = random_.below(random_.chance(0.05) ? 12 : 2);
+        for (std::uint64_t n = 0; n < count; ++n)
+        {
+            const auto port = static_cast<std::uint16_t>(random_.below(20));
+            const auto token = ++tokens_;
+            witness item;
+            item.id = {
+                {{1, port}, 1}, token, 8, static_cast<std::uint16_t>(token), 0};
+            item.repeatable = random_.chance(0.6);
+            seen_.emplace(item.id, item);
+            arrive(item);
+            last_.push_back(item.id);
+        }
+    }
+
+    auto arrive(const witness& item) -> arrival_result
+    {
+        const byte_buffer datagram(20, 1);
+        const auto level = static_cast<urgency>(item.id.token % urgency_count);
+        const millis left{item.id.token % 3 == 0 ? 200 : 0};
+        const auto result = engine_.arrive(
+            now_, {item.id, datagram, item.repeatable, level, left});
+        REQUIRE(result != arrival_result::dropped);
+        REQUIRE(engine_.limit() >= 1);
+        REQUIRE(engine_.limit() <= slots);
+        REQUIRE(engine_.running() <= slots);
+        REQUIRE(engine_.running() <= engine_.in_progress());
+        return result;
+    }
+
+    auto send_copy() -> void
+    {
+        if (last_.empty() || !random_.chance(0.3))
+        {
+            return;
+        }
+        const auto reach = std::min<std::uint64_t>(last_.size(), 300);
+        const auto back = random_.below(reach);
+        const auto& id = last_[last_.size() - 1 - back];
+        const auto result = arrive(seen_.at(id));
+        REQUIRE((result == arrival_result::in_progress ||
+                 result == arrival_result::repeated));
+    }
+
+    auto cancel_one() -> void
+    {
+        if (last_.empty() || !random_.chance(0.02))
+        {
+            return;
+        }
+        const auto reach = std::min<std::uint64_t>(last_.size(), 10);
+        const auto& id = last_[last_.size() - 1 - random_.below(reach)];
+        seen_.at(id).cancelled = true;
+        engine_.cancel(now_, id);
+    }
+
+    auto answer_some() -> void
+    {
+        const auto shed = std::exchange(sheds_, {});
+        for (const auto token : shed)
+        {
+            engine_.on_answer(now_, token, {}, server_verdict::overloaded);
+        }
+        std::vector<server_run> due;
+        std::erase_if(runs_,
+                      [&](const server_run& item)
+                      {
+                          const auto ready = item.answers_at <= now_;
+                          if (ready)
+                          {
+                              due.push_back(item);
+                          }
+                          return ready;
+                      });
+        for (auto n = due.size(); n > 0; --n)
+        {
+            answer(due[n - 1]);
+        }
+    }
+
+    auto answer(const server_run& item) -> void
+    {
+        const auto* begin =
+            reinterpret_cast<const std::uint8_t*>(&item.id.token);
+        const byte_view bytes(begin, sizeof(item.id.token));
+        engine_.on_answer(now_, item.token, bytes, server_verdict::answered);
+        if (random_.chance(0.1))
+        {
+            CHECK_FALSE(engine_.on_answer(now_, item.token, bytes,
+                                          server_verdict::answered));
+        }
+    }
+
+    auto finish() -> void
+    {
+        mood_ = 0;
+        for (int n = 0; n < 1000; ++n)
+        {
+            now_ += milliseconds(10);
+            answer_some();
+            engine_.tick(now_);
+        }
+        REQUIRE(engine_.in_progress() == 0);
+        hand_over();
+        for (const auto& [id, seen] : seen_)
+        {
+            const auto told =
+                seen.answered + seen.told_not_run + seen.told_unknown;
+            REQUIRE((told > 0 || seen.cancelled));
+        }
+    }
+
+    // Every flow moves to another engine: copies get what they got before,
+    // and nothing runs.
+    auto hand_over() -> void
+    {
+        request_engine next(hooks(), 2);
+        for (std::uint16_t port = 0; port < 20; ++port)
+        {
+            const flow_key flow{{1, port}, 1};
+            next.restore(now_, engine_.take(now_, flow));
+        }
+        REQUIRE(engine_.kept_count() == 0);
+        for (const auto& [id, seen] : seen_)
+        {
+            const byte_buffer datagram(20, 1);
+            REQUIRE(next.arrive(
+                        now_,
+                        {id, datagram, seen.repeatable, urgency::normal, {}}) ==
+                    arrival_result::repeated);
+        }
+        REQUIRE(next.counters().dispatched == 0);
+    }
+
+    millis now_;
+    random_source random_;
+    std::uint64_t tokens_ = 0;
+    // 0 well, 1 slow, 2 sheds, 3 never answers.
+    std::uint64_t mood_ = 0;
+    std::map<request_id, witness> seen_;
+    std::vector<request_id> last_;
+    std::vector<server_run> runs_;
+    std::vector<std::uint64_t> sheds_;
+    request_engine engine_;
+};
+
+} // namespace
+
+TEST_CASE("randomised requests: at most once, true refusals, own answers")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        CAPTURE(seed);
+        random_run(seed).run();
+    }
+}
