--- /dev/null
+++ b/modules/report/metrics/latency_histogram.cpp
@@ -0,0 +1,80 @@
+#include "report/metrics/latency_histogram.hpp"
+
+#include <cmath>
+#include <numeric>
+
+namespace briardrum
+{
+
+namespace
+{
+
+constexpr unsigned steps = 40;
+constexpr double lowest_ms = 1;
+constexpr double highest_ms = 60000;
+
+} // namespace
+
+latency_histogram::latency_histogram()
+    : histogram_(std::make_tuple(axis(steps, lowest_ms, highest_ms)), storage())
+{
+}
+
+auto latency_histogram::add(millis latency) -> void
+{
+    histogram_(static_cast<double>(latency.count));
+}
+
+auto latency_histogram::merge(const latency_histogram& other) -> void
+{
+    histogram_ += other.histogram_;
+}
+
+auto latency_histogram::percentile(double share) const -> millis
+{
+    const auto all = counts();
+    const auto total =
+        std::accumulate(all.begin(), all.end(), std::uint64_t{0});
+    const auto wanted = share * static_cast<double>(total);
+    std::uint64_t seen = 0;
+    for (std::size_t n = 0; n < all.size(); ++n)
+    {
+        seen += all[n];
+        if (seen > 0 && static_cast<double>(seen) >= wanted)
+        {
+            // The upper edge of the step; step 0 lies below the axis.
+            const auto edge = histogram_.axis(0).value(static_cast<double>(n));
+            return {std::llround(std::min(edge, highest_ms))};
+        }
+    }
+    return {};
+}
+
+auto latency_histogram::counts() const -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> out;
+    out.reserve(steps + 2);
+    for (int n = -1; n <= static_cast<int>(steps); ++n)
+    {
+        out.push_back(histogram_.at(n));
+    }
+    return out;
+}
+
+auto latency_histogram::set_counts(std::span<const std::uint64_t> counts)
+    -> bool
+{
+    if (counts.size() != steps + 2)
+    {
+        return false;
+    }
+    int place = -1;
+    for (const auto count : counts)
+    {
+        histogram_.at(place) = count;
+        ++place;
+    }
+    return true;
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/report/metrics/request_end.hpp
@@ -0,0 +1,38 @@
+#ifndef BRIARDRUM_REPORT_METRICS_REQUEST_END_HPP
+#define BRIARDRUM_REPORT_METRICS_REQUEST_END_HPP
+
+#include "requests/requests.hpp"
+
+#include <string_view>
+
+namespace briardrum
+{
+
+// What a caller got for a request. Only good counts as good.
+enum class request_end : std::uint8_t
+{
+    good = 0,
+    // Answered, later than the objective.
+    late = 1,
+    // Told that it was not run.
+    refused = 2,
+    // Given up without a word, by a balancer or for want of memory.
+    dropped = 3,
+    // No answer in time, or an outcome that nobody knows.
+    timed_out = 4,
+    // The caller had stopped waiting.
+    cancelled = 5,
+};
+
+constexpr std::size_t request_end_count = 6;
+
+auto to_string(request_end end) -> std::string_view;
+auto to_string(urgency level) -> std::string_view;
+
+// How an ended request counts against an objective for its latency.
+auto end_of(const request_outcome& outcome, millis objective_latency)
+    -> request_end;
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/report/metrics/service_counts.hpp
@@ -0,0 +1,35 @@
+#ifndef BRIARDRUM_REPORT_METRICS_SERVICE_COUNTS_HPP
+#define BRIARDRUM_REPORT_METRICS_SERVICE_COUNTS_HPP
+
+#include "report/metrics/latency_histogram.hpp"
+#include "report/metrics/request_end.hpp"
+
+#include <array>
+
+namespace briardrum
+{
+
+// What callers of one service got during one interval, or any sum of these.
+struct service_counts
+{
+    // Requests by urgency and end.
+    std::array<std::array<std::uint64_t, request_end_count>, urgency_count>
+        ends{};
+    std::uint64_t broken_flows = 0;
+    // Of answered requests, late ones included.
+    latency_histogram latency;
+
+    auto add(urgency level, request_end end, millis latency) -> void;
+    auto merge(const service_counts& other) -> void;
+
+    auto count(request_end end) const -> std::uint64_t;
+    auto count(urgency level, request_end end) const -> std::uint64_t;
+    auto total() const -> std::uint64_t;
+    auto bad() const -> std::uint64_t;
+    // Good and late: what a server did.
+    auto answered() const -> std::uint64_t;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/report/model/coverage.cpp
@@ -0,0 +1,84 @@
+#include "report/model/coverage.hpp"
+
+#include <algorithm>
+
+namespace briardrum
+{
+
+namespace
+{
+
+// When the process is next known to count after this life: its next life, or
+// the end of what the page covers.
+auto covered_again(const report_day& day, std::span<const process_report> rest)
+    -> millis
+{
+    const auto end = std::min(day.to, day.now);
+    if (rest.size() > 1 && rest[1].process == rest[0].process)
+    {
+        return std::min(end, rest[1].from);
+    }
+    return end;
+}
+
+} // namespace
+
+auto missing_spans(const report_day& day,
+                   std::span<const process_report> reports)
+    -> std::vector<missing_span>
+{
+    std::vector<missing_span> out;
+    for (std::size_t n = 0; n < reports.size(); ++n)
+    {
+        const auto& item = reports[n];
+        const auto from = std::max(day.from, item.until);
+        const auto to = covered_again(day, reports.subspan(n));
+        // A process that was asked within the last interval is not missing.
+        const auto last =
+            n + 1 == reports.size() || reports[n + 1].process != item.process;
+        const auto allowed = last ? report_interval : millis{};
+        if (!item.finished && to - from > allowed)
+        {
+            out.push_back({item.process, from, to});
+        }
+    }
+    return out;
+}
+
+auto preset_spans(const report_day& day,
+                  std::span<const process_report> reports)
+    -> std::vector<preset_span>
+{
+    // The earliest sight of each version that changed the preset.
+    std::map<configuration_version, preset_change> changes;
+    for (const auto& report : reports)
+    {
+        for (const auto& item : report.presets)
+        {
+            auto& known = changes.try_emplace(item.version, item).first->second;
+            known.from = std::min(known.from, item.from);
+        }
+    }
+    std::vector<preset_span> out;
+    const auto end = std::min(day.to, day.now);
+    for (const auto& [version, item] : changes)
+    {
+        if (!out.empty())
+        {
+            out.back().to = std::max(item.from, out.back().from);
+        }
+        if (out.empty() || out.back().preset != item.preset)
+        {
+            out.push_back({item.preset, std::max(day.from, item.from), end});
+        }
+        out.back().to = end;
+    }
+    std::erase_if(out,
+                  [&](const preset_span& item)
+                  {
+                      return item.to <= day.from || item.from >= end;
+                  });
+    return out;
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/report/model/coverage.hpp
@@ -0,0 +1,23 @@
+#ifndef BRIARDRUM_REPORT_MODEL_COVERAGE_HPP
+#define BRIARDRUM_REPORT_MODEL_COVERAGE_HPP
+
+#include "report/model/day_report.hpp"
+
+namespace briardrum
+{
+
+// Which times no report covers: between the last report of one life of a
+// process and the start of its next, or the end of the day, unless the life
+// ended in a graceful shutdown. Merged reports, in order of name and life.
+auto missing_spans(const report_day& day,
+                   std::span<const process_report> reports)
+    -> std::vector<missing_span>;
+
+// Which preset was in force when, as the processes saw it.
+auto preset_spans(const report_day& day,
+                  std::span<const process_report> reports)
+    -> std::vector<preset_span>;
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/report/model/headline.cpp
@@ -0,0 +1,122 @@
+#include "report/model/headline.hpp"
+
+#include "report/format/numbers.hpp"
+
+namespace briardrum
+{
+
+namespace
+{
+
+// Burn at which a month's budget is gone in about two days; over both an hour
+// and five minutes it is going on now.
+constexpr double fast_burn = 14.4;
+
+auto plural(std::uint64_t n, const std::string& one, const std::string& many)
+    -> std::string
+{
+    return format_count(n) + " " + (n == 1 ? one : many);
+}
+
+auto join(const std::vector<std::string>& parts) -> std::string
+{
+    std::string out;
+    for (std::size_t n = 0; n < parts.size(); ++n)
+    {
+        const auto last = n + 1 == parts.size();
+        out += n == 0 ? "" : last ? " and " : ", ";
+        out += parts[n];
+    }
+    return out;
+}
+
+auto sum_faults(const day_report& report) -> std::string
+{
+    std::string out;
+    for (const auto& service : report.services)
+    {
+        if (!service.faults.empty())
+        {
+            out += out.empty() ? "" : "; ";
+            out += service.name + " " + join(service.faults);
+        }
+    }
+    return out;
+}
+
+auto sum_requests(const day_report& report) -> std::uint64_t
+{
+    std::uint64_t sum = 0;
+    for (const auto& service : report.services)
+    {
+        sum += service.counts.total();
+    }
+    return sum;
+}
+
+auto unknown_part(const day_report& report) -> std::string
+{
+    std::vector<std::string> parts;
+    if (!report.missing.empty())
+    {
+        parts.push_back(plural(report.missing.size(), "stretch", "stretches") +
+                        " not counted");
+    }
+    if (!report.unreachable.empty())
+    {
+        parts.push_back(
+            plural(report.unreachable.size(), "process", "processes") +
+            " not reached");
+    }
+    return parts.empty() ? "" : " As far as is known: " + join(parts) + ".";
+}
+
+} // namespace
+
+auto faults_of(const service_day& service) -> std::vector<std::string>
+{
+    std::vector<std::string> out;
+    if (service.counts.broken_flows > 0)
+    {
+        out.push_back("broke " +
+                      plural(service.counts.broken_flows, "flow", "flows"));
+    }
+    if (service.budget_burned > 1)
+    {
+        out.push_back("used " + format_percent(service.budget_burned, 0) +
+                      " of its error budget");
+    }
+    if (service.burn.hour > fast_burn && service.burn.five_minutes > fast_burn)
+    {
+        out.push_back("is burning it " +
+                      format_number(service.burn.five_minutes, 1) +
+                      " times too fast now");
+    }
+    return out;
+}
+
+auto add_headline(day_report& report) -> void
+{
+    const auto over = report.day.now >= report.day.to;
+    const auto name = over ? format_date(report.day.from) : "Today";
+    const auto faults = sum_faults(report);
+    const auto requests = sum_requests(report);
+    report.went_well = faults.empty();
+    if (requests == 0 && faults.empty())
+    {
+        report.went_well = false;
+        report.headline = name + ": nothing was counted.";
+    }
+    else if (report.went_well)
+    {
+        report.headline = name + (over ? " went well: " : " goes well: ") +
+                          "every service within its objective, no flow broken.";
+    }
+    else
+    {
+        report.headline = name + " did not go well: " + faults + ".";
+    }
+    report.headline += unknown_part(report);
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/report/page/burn_plot.cpp
@@ -0,0 +1,126 @@
+#include "report/page/burn_plot.hpp"
+
+#include "report/format/numbers.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace briardrum
+{
+
+namespace
+{
+
+constexpr std::size_t step_count = 96;
+constexpr millis step = minutes(15);
+// In units of the drawing.
+constexpr double bar_width = 6;
+constexpr double plot_width = bar_width * static_cast<double>(step_count);
+constexpr double plot_height = 90;
+constexpr double foot_height = 16;
+constexpr double head_height = 14;
+
+using steps = std::array<day_point, step_count>;
+
+auto sum_steps(const report_day& day, const service_day& service) -> steps
+{
+    steps out{};
+    for (const auto& point : service.points)
+    {
+        const auto n = (point.start - day.from).count / step.count;
+        auto& into = out.at(static_cast<std::size_t>(n));
+        into.total += point.total;
+        into.bad += point.bad;
+    }
+    return out;
+}
+
+auto rect(const char* style, double x, double y, double height) -> std::string
+{
+    return "<rect class=\"" + std::string(style) + "\" x=\"" +
+           format_number(x, 1) + "\" y=\"" + format_number(y, 1) +
+           "\" width=\"" + format_number(bar_width - 1, 1) + "\" height=\"" +
+           format_number(height, 1) + "\"/>";
+}
+
+// One step's column: what was good stands on what was not.
+auto column(std::size_t n, const day_point& point, std::uint64_t most)
+    -> std::string
+{
+    if (point.total == 0)
+    {
+        return "";
+    }
+    const auto scale = plot_height / static_cast<double>(most);
+    const auto x = static_cast<double>(n) * bar_width;
+    const auto foot = head_height + plot_height;
+    auto bad = static_cast<double>(point.bad) * scale;
+    // A single bad request is still to be seen.
+    if (point.bad > 0)
+    {
+        bad = std::max(bad, 2.0);
+    }
+    const auto all = std::max(static_cast<double>(point.total) * scale, bad);
+    std::string out;
+    if (all > bad)
+    {
+        out += rect("good", x, foot - all, all - bad);
+    }
+    if (point.bad > 0)
+    {
+        out += rect("bad", x, foot - bad, bad);
+    }
+    return out;
+}
+
+auto text(double x, double y, const char* anchor, const std::string& words)
+    -> std::string
+{
+    return "<text x=\"" + format_number(x, 1) + "\" y=\"" +
+           format_number(y, 1) + "\" text-anchor=\"" + anchor + "\">" + words +
+           "</text>";
+}
+
+auto hours() -> std::string
+{
+    std::string out;
+    const auto y = head_height + plot_height + foot_height - 4;
+    for (int hour = 0; hour <= 24; hour += 6)
+    {
+        const auto x = plot_width * hour / 24;
+        const auto* anchor = hour == 0    ? "start"
+                             : hour == 24 ? "end"
+                                          : "middle";
+        out += text(x, y, anchor, format_time(minutes(hour * 60), {}));
+    }
+    return out;
+}
+
+} // namespace
+
+auto write_burn_plot(const report_day& day, const service_day& service)
+    -> std::string
+{
+    const auto columns = sum_steps(day, service);
+    std::uint64_t most = 1;
+    for (const auto& point : columns)
+    {
+        most = std::max(most, point.total);
+    }
+    const auto foot = format_number(head_height + plot_height, 1);
+    auto out = "<svg viewBox=\"0 0 " + format_number(plot_width, 0) + " " +
+               format_number(head_height + plot_height + foot_height, 0) +
+               "\" role=\"img\" aria-label=\"Requests of " + service.name +
+               " in each quarter of an hour\">\n";
+    out += text(0, head_height - 4, "start",
+                "requests a quarter of an hour, at most " + format_count(most));
+    for (std::size_t n = 0; n < columns.size(); ++n)
+    {
+        out += column(n, columns.at(n), most);
+    }
+    out += "<line x1=\"0\" x2=\"" + format_number(plot_width, 1) + "\" y1=\"" +
+           foot + "\" y2=\"" + foot + "\"/>" + hours() + "\n</svg>\n";
+    return out;
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/report/page/page_facts.hpp
@@ -0,0 +1,38 @@
+#ifndef BRIARDRUM_REPORT_PAGE_PAGE_FACTS_HPP
+#define BRIARDRUM_REPORT_PAGE_PAGE_FACTS_HPP
+
+#include "report/model/day_report.hpp"
+
+#include <string>
+#include <vector>
+
+namespace briardrum
+{
+
+// A line of the page: what, and how much.
+struct page_fact
+{
+    std::string label;
+    std::string value;
+};
+
+// The lines that the text and the HTML page share, so that both say the same.
+
+// "within its objective", or what did not go well.
+auto verdict_of(const service_day& service) -> std::string;
+
+auto facts_of(const service_day& service) -> std::vector<page_fact>;
+
+// Refused and dropped by urgency; only urgencies that had requests.
+auto urgency_rows_of(const service_day& service) -> std::vector<page_fact>;
+
+// "2026-12-04, 00:00 to 16:05 UTC, 10 processes"
+auto covers_of(const day_report& report) -> std::string;
+
+auto preset_facts_of(const day_report& report) -> std::vector<page_fact>;
+
+auto missing_facts_of(const day_report& report) -> std::vector<page_fact>;
+
+} // namespace briardrum
+
+#endif
