--- a/modules/report/metrics/request_end.cpp
+++ b/modules/report/metrics/request_end.cpp
@@ -12,13 +12,6 @@
     return names.at(static_cast<std::size_t>(end));
 }
 
-auto to_string(urgency level) -> std::string_view
-{
-    constexpr std::array<std::string_view, urgency_count> names = {
-        "urgent", "normal", "bulk"};
-    return names.at(static_cast<std::size_t>(level));
-}
-
 auto end_of(const request_outcome& outcome, millis objective_latency)
     -> request_end
 {
--- a/modules/report/metrics/request_end.hpp
+++ b/modules/report/metrics/request_end.hpp
@@ -27,7 +27,6 @@
 constexpr std::size_t request_end_count = 6;
 
 auto to_string(request_end end) -> std::string_view;
-auto to_string(urgency level) -> std::string_view;
 
 // How an ended request counts against an objective for its latency.
 auto end_of(const request_outcome& outcome, millis objective_latency)
--- a/modules/report/page/page_facts.cpp
+++ b/modules/report/page/page_facts.cpp
@@ -1,5 +1,6 @@
 #include "report/page/page_facts.hpp"
 
+#include "config/text/entity_text.hpp"
 #include "report/format/numbers.hpp"
 
 #include <algorithm>
--- a/tests/unit/cookie_test.cpp
+++ b/tests/unit/cookie_test.cpp
@@ -1,6 +1,7 @@
 #include "requests/requests.hpp"
 
 #include <doctest/doctest.h>
+#include <sodium.h>
 
 using namespace briardrum;
 
@@ -83,8 +84,22 @@
 {
     const cookie_mint none({key(0), key(0)});
     CHECK(none.make(claims, flow).empty());
-    // A cookie that names key 0 must not match the unused key.
-    auto forged = cookie_mint({key(1), key(0)}).make(claims, flow);
+    // A cookie that names key 0, with a code that its empty secret gives.
+    const cookie_key empty{};
+    byte_buffer forged = cookie_mint({key(1), empty}).make(claims, flow);
     forged.front() = 0;
-    CHECK_FALSE(none.verify(forged, flow).ok());
+    const byte_view claimed = byte_view(forged).first(forged.size() - 16);
+    auto text = to_buffer(claimed);
+    const std::array<std::uint8_t, 10> flow_bytes = {
+        0x0a, 0, 0, 1, 4000 >> 8, 4000 & 0xff, 0, 0, 0, 7};
+    text.insert(text.end(), flow_bytes.begin(), flow_bytes.end());
+    crypto_generichash(forged.data() + claimed.size(), 16, text.data(),
+                       text.size(), empty.secret.data(), empty.secret.size());
+    CHECK_FALSE(cookie_mint({empty, empty}).verify(forged, flow).ok());
+    // The same way of forging works with a key that is known.
+    auto known = cookie_mint({key(1), empty}).make(claims, flow);
+    text.front() = 1;
+    crypto_generichash(known.data() + claimed.size(), 16, text.data(),
+                       text.size(), key(1).secret.data(), 32);
+    CHECK(cookie_mint({key(1), empty}).verify(known, flow).ok());
 }
--- a/tests/unit/requests_engine_test.cpp
+++ b/tests/unit/requests_engine_test.cpp
@@ -232,3 +232,59 @@
     b.advance(seconds(248));
     CHECK(b.engine.kept_count() == 0);
 }
+
+TEST_CASE("retries on a lost server stay within the budget")
+{
+    requests_fixture f;
+    service_policy policy;
+    policy.retry_percent = 10;
+    f.engine.set_policy(policy);
+    std::uint16_t message = 0;
+    for (int round = 0; round < 100; ++round)
+    {
+        f.engine.on_server_ready(f.now);
+        for (int n = 0; n < 5; ++n)
+        {
+            f.arrive(1, ++message, true, seconds(60));
+            f.answer_last();
+        }
+        f.arrive(1, ++message, true, seconds(60));
+        f.engine.on_server_lost(f.now);
+    }
+    const auto& counters = f.engine.counters();
+    CHECK(counters.retried > 0);
+    CHECK(counters.retried * 10 <= counters.arrived);
+}
+
+TEST_CASE("a cancelled run gives its slot back though no answer comes")
+{
+    requests_fixture f;
+    f.occupy();
+    f.arrive(1, 1, false, minutes(1));
+    f.engine.on_server_heard(f.now);
+    for (std::uint16_t n = 0; n < f.slots; ++n)
+    {
+        f.engine.cancel(f.now, f.id_of(f.busy_caller, n));
+    }
+    CHECK(f.cancels.size() == f.slots);
+    CHECK(f.dispatches.size() == f.slots);
+    f.advance(milliseconds(1100));
+    CHECK(f.dispatches.size() == f.slots + 1U);
+    CHECK(f.refusals.empty());
+}
+
+TEST_CASE("nobody waits in the queue for long, nor runs without end")
+{
+    requests_fixture f;
+    f.arrive(1, 1, false, minutes(60));
+    for (std::uint16_t n = 0; n < f.slots; ++n)
+    {
+        f.arrive(2, n, false, minutes(60));
+    }
+    f.engine.on_server_heard(f.now);
+    f.advance(seconds(31));
+    REQUIRE(f.refusals.size() == 1);
+    CHECK(f.refusals[0].kind == error_kind::overloaded);
+    f.advance(minutes(4));
+    CHECK(f.engine.in_progress() == 0);
+}
