--- a/modules/report/metrics/latency_histogram.cpp
+++ b/modules/report/metrics/latency_histogram.cpp
@@ -9,25 +9,40 @@
 namespace
 {
 
-constexpr unsigned steps = 40;
+constexpr unsigned steps = 80;
 constexpr double lowest_ms = 1;
 constexpr double highest_ms = 60000;
 
 } // namespace
 
-latency_histogram::latency_histogram()
-    : histogram_(std::make_tuple(axis(steps, lowest_ms, highest_ms)), storage())
+latency_histogram::latency_histogram(const latency_histogram& other)
 {
+    *this = other;
+}
+
+auto latency_histogram::operator=(const latency_histogram& other)
+    -> latency_histogram&
+{
+    if (this != &other)
+    {
+        histogram_ = other.histogram_ == nullptr
+                         ? nullptr
+                         : std::make_unique<histogram>(*other.histogram_);
+    }
+    return *this;
 }
 
 auto latency_histogram::add(millis latency) -> void
 {
-    histogram_(static_cast<double>(latency.count));
+    open()(static_cast<double>(latency.count));
 }
 
 auto latency_histogram::merge(const latency_histogram& other) -> void
 {
-    histogram_ += other.histogram_;
+    if (other.histogram_ != nullptr)
+    {
+        open() += *other.histogram_;
+    }
 }
 
 auto latency_histogram::percentile(double share) const -> millis
@@ -43,7 +58,7 @@
         if (seen > 0 && static_cast<double>(seen) >= wanted)
         {
             // The upper edge of the step; step 0 lies below the axis.
-            const auto edge = histogram_.axis(0).value(static_cast<double>(n));
+            const auto edge = histogram_->axis(0).value(static_cast<double>(n));
             return {std::llround(std::min(edge, highest_ms))};
         }
     }
@@ -53,10 +68,14 @@
 auto latency_histogram::counts() const -> std::vector<std::uint64_t>
 {
     std::vector<std::uint64_t> out;
+    if (histogram_ == nullptr)
+    {
+        return out;
+    }
     out.reserve(steps + 2);
     for (int n = -1; n <= static_cast<int>(steps); ++n)
     {
-        out.push_back(histogram_.at(n));
+        out.push_back(histogram_->at(n));
     }
     return out;
 }
@@ -64,17 +83,33 @@
 auto latency_histogram::set_counts(std::span<const std::uint64_t> counts)
     -> bool
 {
+    if (counts.empty())
+    {
+        histogram_ = nullptr;
+        return true;
+    }
     if (counts.size() != steps + 2)
     {
         return false;
     }
+    auto& into = open();
     int place = -1;
     for (const auto count : counts)
     {
-        histogram_.at(place) = count;
+        into.at(place) = count;
         ++place;
     }
     return true;
 }
 
+auto latency_histogram::open() -> histogram&
+{
+    if (histogram_ == nullptr)
+    {
+        histogram_ = std::make_unique<histogram>(
+            std::make_tuple(axis(steps, lowest_ms, highest_ms)), storage());
+    }
+    return *histogram_;
+}
+
 } // namespace briardrum
--- a/modules/report/metrics/latency_histogram.hpp
+++ b/modules/report/metrics/latency_histogram.hpp
@@ -4,6 +4,7 @@
 #include "core/core.hpp"
 
 #include <boost/histogram.hpp>
+#include <memory>
 #include <span>
 #include <vector>
 
@@ -11,11 +12,18 @@
 {
 
 // Latencies counted in logarithmic steps from 1 ms to a minute, so that
-// histograms of many processes add up and still give percentiles.
+// histograms of many processes add up and still give percentiles. An empty
+// one takes next to no memory.
 class latency_histogram
 {
 public:
-    latency_histogram();
+    latency_histogram() = default;
+    latency_histogram(const latency_histogram& other);
+    latency_histogram(latency_histogram&& other) noexcept = default;
+    ~latency_histogram() = default;
+    auto operator=(const latency_histogram& other) -> latency_histogram&;
+    auto operator=(latency_histogram&& other) noexcept
+        -> latency_histogram& = default;
 
     auto add(millis latency) -> void;
     auto merge(const latency_histogram& other) -> void;
@@ -24,7 +32,8 @@
     // step; 0 when nothing was counted.
     auto percentile(double share) const -> millis;
 
-    // Counts by step, the first below 1 ms and the last beyond a minute.
+    // Counts by step, the first below 1 ms and the last beyond a minute;
+    // empty when nothing was counted.
     auto counts() const -> std::vector<std::uint64_t>;
 
     // Takes counts back; false when there are not as many as steps.
@@ -35,8 +44,11 @@
         boost::histogram::axis::regular<double,
                                         boost::histogram::axis::transform::log>;
     using storage = boost::histogram::dense_storage<std::uint64_t>;
+    using histogram = boost::histogram::histogram<std::tuple<axis>, storage>;
 
-    boost::histogram::histogram<std::tuple<axis>, storage> histogram_;
+    auto open() -> histogram&;
+
+    std::unique_ptr<histogram> histogram_;
 };
 
 } // namespace briardrum
--- a/modules/report/metrics/report_recorder.cpp
+++ b/modules/report/metrics/report_recorder.cpp
@@ -30,6 +30,7 @@
         report_.objectives[name] = {policy.objective_ppm,
                                     policy.objective_latency};
     }
+    report_.version = next.version;
     auto& presets = report_.presets;
     if (presets.empty() || presets.back().preset != next.in_force)
     {
--- a/modules/report/model/coverage.cpp
+++ b/modules/report/model/coverage.cpp
@@ -45,6 +45,28 @@
     return out;
 }
 
+auto lagging_processes(const report_day& day,
+                       std::span<const process_report> reports)
+    -> std::vector<lagging_process>
+{
+    configuration_version newest = 0;
+    for (const auto& item : reports)
+    {
+        newest = std::max(newest, item.version);
+    }
+    std::vector<lagging_process> out;
+    for (const auto& item : reports)
+    {
+        const auto current =
+            !item.finished && item.until + report_interval >= day.now;
+        if (current && item.version < newest)
+        {
+            out.push_back({item.process, item.version, newest});
+        }
+    }
+    return out;
+}
+
 auto preset_spans(const report_day& day,
                   std::span<const process_report> reports)
     -> std::vector<preset_span>
--- a/modules/report/model/coverage.hpp
+++ b/modules/report/model/coverage.hpp
@@ -13,6 +13,12 @@
                    std::span<const process_report> reports)
     -> std::vector<missing_span>;
 
+// Processes that were asked within the last interval and hold an older
+// configuration than the newest that any process holds.
+auto lagging_processes(const report_day& day,
+                       std::span<const process_report> reports)
+    -> std::vector<lagging_process>;
+
 // Which preset was in force when, as the processes saw it.
 auto preset_spans(const report_day& day,
                   std::span<const process_report> reports)
--- a/modules/report/model/day_report.cpp
+++ b/modules/report/model/day_report.cpp
@@ -128,6 +128,7 @@
     std::stable_sort(out.services.begin(), out.services.end(), is_worse);
     out.presets = preset_spans(day, reports);
     out.missing = missing_spans(day, reports);
+    out.lagging = lagging_processes(day, reports);
     out.unreachable.assign(unreachable.begin(), unreachable.end());
     add_headline(out);
     return out;
--- a/modules/report/model/day_report.hpp
+++ b/modules/report/model/day_report.hpp
@@ -72,6 +72,14 @@
     millis to;
 };
 
+// A process that holds an older configuration than others.
+struct lagging_process
+{
+    std::string process;
+    configuration_version version = 0;
+    configuration_version newest = 0;
+};
+
 // The page's content.
 struct day_report
 {
@@ -82,6 +90,7 @@
     std::vector<service_day> services;
     std::vector<preset_span> presets;
     std::vector<missing_span> missing;
+    std::vector<lagging_process> lagging;
     // Processes that could not be asked.
     std::vector<std::string> unreachable;
 };
--- a/modules/report/model/headline.cpp
+++ b/modules/report/model/headline.cpp
@@ -109,12 +109,15 @@
     }
     else if (report.went_well)
     {
-        report.headline = name + (over ? " went well: " : " goes well: ") +
+        report.headline = name +
+                          (over ? " went well: " : " is going well so far: ") +
                           "every service within its objective, no flow broken.";
     }
     else
     {
-        report.headline = name + " did not go well: " + faults + ".";
+        report.headline =
+            name + (over ? " did not go well: " : " is not going well: ") +
+            faults + ".";
     }
     report.headline += unknown_part(report);
 }
--- a/modules/report/model/merge_reports.cpp
+++ b/modules/report/model/merge_reports.cpp
@@ -51,6 +51,7 @@
     {
         into.objectives = from.objectives;
         into.slots = from.slots;
+        into.version = from.version;
         into.until = from.until;
     }
     into.finished = into.finished || from.finished;
--- a/modules/report/model/process_report.hpp
+++ b/modules/report/model/process_report.hpp
@@ -55,6 +55,8 @@
     millis until;
     // It left after a graceful shutdown: nothing is missing after until.
     bool finished = false;
+    // Of the configuration in force there.
+    configuration_version version = 0;
     std::map<std::string, service_objective> objectives;
     std::vector<preset_change> presets;
     // By start of the interval, then by name of the service. Intervals in
--- a/modules/report/model/report_json.cpp
+++ b/modules/report/model/report_json.cpp
@@ -12,11 +12,43 @@
 
 constexpr int format_version = 1;
 
+// Pairs of step and count, where the count is not 0.
+auto write_latency(const latency_histogram& latency) -> json
+{
+    auto out = json::array();
+    const auto counts = latency.counts();
+    for (std::size_t n = 0; n < counts.size(); ++n)
+    {
+        if (counts[n] > 0)
+        {
+            out.push_back({n, counts[n]});
+        }
+    }
+    return out;
+}
+
+auto read_latency(const json& from, latency_histogram& out) -> void
+{
+    if (from.empty())
+    {
+        return;
+    }
+    // Opens the histogram, so that it has its steps.
+    out.add({});
+    std::vector<std::uint64_t> counts(out.counts().size(), 0);
+    for (const auto& item : from)
+    {
+        counts.at(item.at(0).get<std::size_t>()) =
+            item.at(1).get<std::uint64_t>();
+    }
+    out.set_counts(counts);
+}
+
 auto write_counts(const service_counts& counts) -> json
 {
     return {{"ends", counts.ends},
             {"broken_flows", counts.broken_flows},
-            {"latency", counts.latency.counts()}};
+            {"latency", write_latency(counts.latency)}};
 }
 
 auto write_intervals(const process_report& report) -> json
@@ -68,6 +100,7 @@
             {"from", report.from.count},
             {"until", report.until.count},
             {"finished", report.finished},
+            {"version", report.version},
             {"objectives", write_objectives(report)},
             {"presets", write_presets(report)},
             {"intervals", write_intervals(report)}};
@@ -83,11 +116,7 @@
     service_counts out;
     from.at("ends").get_to(out.ends);
     from.at("broken_flows").get_to(out.broken_flows);
-    const auto latency = from.at("latency").get<std::vector<std::uint64_t>>();
-    if (!out.latency.set_counts(latency))
-    {
-        throw std::invalid_argument("wrong number of latency steps");
-    }
+    read_latency(from.at("latency"), out.latency);
     return out;
 }
 
@@ -116,6 +145,7 @@
     out.from = read_time(from.at("from"));
     out.until = read_time(from.at("until"));
     from.at("finished").get_to(out.finished);
+    from.at("version").get_to(out.version);
     for (const auto& [name, item] : from.at("objectives").items())
     {
         const auto ppm = item.at("objective_ppm").get<std::uint32_t>();
--- a/modules/report/page/burn_plot.cpp
+++ b/modules/report/page/burn_plot.cpp
@@ -112,8 +112,10 @@
                format_number(head_height + plot_height + foot_height, 0) +
                "\" role=\"img\" aria-label=\"Requests of " + service.name +
                " in each quarter of an hour\">\n";
-    out += text(0, head_height - 4, "start",
-                "requests a quarter of an hour, at most " + format_count(most));
+    const auto caption = "requests a quarter of an hour, at most " +
+                         format_count(most) +
+                         (service.counts.bad() > 0 ? "; red: not good" : "");
+    out += text(0, head_height - 4, "start", caption);
     for (std::size_t n = 0; n < columns.size(); ++n)
     {
         out += column(n, columns.at(n), most);
--- a/modules/report/page/page_facts.cpp
+++ b/modules/report/page/page_facts.cpp
@@ -171,4 +171,16 @@
     return out;
 }
 
+auto lagging_facts_of(const day_report& report) -> std::vector<page_fact>
+{
+    std::vector<page_fact> out;
+    for (const auto& item : report.lagging)
+    {
+        out.push_back({item.process,
+                       "configuration " + std::to_string(item.version) +
+                           ", the newest is " + std::to_string(item.newest)});
+    }
+    return out;
+}
+
 } // namespace briardrum
--- a/modules/report/page/page_facts.hpp
+++ b/modules/report/page/page_facts.hpp
@@ -33,6 +33,8 @@
 
 auto missing_facts_of(const day_report& report) -> std::vector<page_fact>;
 
+auto lagging_facts_of(const day_report& report) -> std::vector<page_fact>;
+
 } // namespace briardrum
 
 #endif
--- a/modules/report/page/write_html.cpp
+++ b/modules/report/page/write_html.cpp
@@ -100,9 +100,14 @@
            write_burn_plot(day, named) + write_facts(facts) + "</section>\n";
 }
 
+// Nothing when there are no facts.
 auto write_section(const std::string& title,
                    const std::vector<page_fact>& facts) -> std::string
 {
+    if (facts.empty())
+    {
+        return {};
+    }
     return "<section class=\"foot\">\n<h2>" + title + "</h2>\n" +
            write_facts(facts) + "</section>\n";
 }
@@ -132,11 +137,8 @@
     }
     out += "</div>\n";
     out += write_section("Presets in force", preset_facts_of(report));
-    const auto missing = missing_facts_of(report);
-    if (!missing.empty())
-    {
-        out += write_section("Not counted", missing);
-    }
+    out += write_section("Lagging", lagging_facts_of(report));
+    out += write_section("Not counted", missing_facts_of(report));
     return out + "</body>\n</html>\n";
 }
 
--- a/modules/report/page/write_text.cpp
+++ b/modules/report/page/write_text.cpp
@@ -51,6 +51,18 @@
     return out;
 }
 
+// Nothing when there are no facts.
+auto write_facts(const std::string& title, const std::vector<page_fact>& facts)
+    -> std::string
+{
+    auto out = facts.empty() ? "" : "\n" + title + "\n";
+    for (const auto& item : facts)
+    {
+        out += line(item.label, item.value);
+    }
+    return out;
+}
+
 } // namespace
 
 auto write_text(const day_report& report) -> std::string
@@ -60,20 +72,9 @@
     {
         out += write_service(service);
     }
-    out += "\nPresets in force\n";
-    for (const auto& item : preset_facts_of(report))
-    {
-        out += line(item.label, item.value);
-    }
-    const auto missing = missing_facts_of(report);
-    if (!missing.empty())
-    {
-        out += "\nNot counted\n";
-    }
-    for (const auto& item : missing)
-    {
-        out += line(item.label, item.value);
-    }
+    out += write_facts("Presets in force", preset_facts_of(report));
+    out += write_facts("Lagging", lagging_facts_of(report));
+    out += write_facts("Not counted", missing_facts_of(report));
     return out;
 }
 
--- a/tests/unit/report_test.cpp
+++ b/tests/unit/report_test.cpp
@@ -88,14 +88,14 @@
         (n % 2 == 0 ? a : b).add(milliseconds(n));
     }
     a.merge(b);
-    // A step is a factor of 60,000^(1/40), 1.32.
+    // A step is a factor of 60,000^(1/80), 1.15.
     for (const double share : {0.1, 0.5, 0.9, 0.99})
     {
         CAPTURE(share);
         const auto exact = share * 1000;
         const auto found = static_cast<double>(a.percentile(share).count);
         CHECK(found >= exact * 0.99);
-        CHECK(found <= exact * 1.33);
+        CHECK(found <= exact * 1.16);
     }
     CHECK(latency_histogram().percentile(0.5) == millis{});
     a.add(minutes(5));
@@ -204,12 +204,12 @@
                      outcome_of(error_kind::overloaded, {}));
     auto page = page_of({recorder.report(at(9, 0))}, at(9, 0));
     CHECK(page.went_well);
-    CHECK(write_text(page).starts_with("Today goes well"));
+    CHECK(write_text(page).starts_with("Today is going well so far: "));
     recorder.flow_broken(at(8, 0), "manifest");
     page = page_of({recorder.report(at(9, 0))}, at(9, 0));
     CHECK_FALSE(page.went_well);
     CHECK(write_text(page).starts_with(
-        "Today did not go well: manifest broke 1 flow."));
+        "Today is not going well: manifest broke 1 flow."));
     recorder.outcome(at(1, 0), "manifest",
                      outcome_of(error_kind::outcome_unknown, {}));
     page = page_of({recorder.report(at(25, 0))}, at(25, 0));
@@ -262,6 +262,21 @@
     CHECK(page.presets[2].to == at(12, 0));
 }
 
+TEST_CASE("the page names processes whose configuration lags")
+{
+    auto a = recorder_of("a1", at(0, 0));
+    auto b = recorder_of("a2", at(0, 0));
+    auto gone = recorder_of("a3", at(0, 0));
+    b.adopt(at(6, 0), configuration_of("peak", 7));
+    const auto page = page_of(
+        {a.report(at(12, 0)), b.report(at(12, 0)), gone.report(at(5, 0))},
+        at(12, 0));
+    REQUIRE(page.lagging.size() == 1);
+    CHECK(page.lagging[0].process == "a1");
+    CHECK(page.lagging[0].version == 1);
+    CHECK(page.lagging[0].newest == 7);
+}
+
 TEST_CASE("reports are read as they were written, and nothing else is")
 {
     auto recorder = recorder_of("a1", at(1, 0));
