Settings of balancer and agent, checked whole

Ruled out: stopping at the first nlohmann exception, which names one fault at a time and lets a field stand twice in silence.

--- a/modules/config/config.hpp
+++ b/modules/config/config.hpp
@@ -9,5 +9,7 @@
 #include "config/model/configuration.hpp"
 #include "config/model/preset.hpp"
 #include "config/model/service.hpp"
+#include "config/settings/agent_settings.hpp"
+#include "config/settings/balancer_settings.hpp"
 
 #endif
