--- /dev/null
+++ b/modules/io/log/event_limiter.hpp
@@ -0,0 +1,47 @@
+#ifndef BRIARDRUM_IO_LOG_EVENT_LIMITER_HPP
+#define BRIARDRUM_IO_LOG_EVENT_LIMITER_HPP
+
+#include "core/core.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace briardrum
+{
+
+// Events of one name that were kept out of the log.
+struct suppressed_events
+{
+    std::string name;
+    std::uint64_t count = 0;
+};
+
+// Lets only so many events of one name through per interval, so that a flood
+// cannot flood the log as well.
+class event_limiter
+{
+public:
+    static constexpr millis interval = seconds(1);
+    static constexpr std::uint32_t events_per_interval = 10;
+
+    // True when an event of this name may be written now.
+    auto admit(millis now, std::string_view name) -> bool;
+
+    // What was kept out in intervals that are over, each told once.
+    auto take_suppressed(millis now) -> std::vector<suppressed_events>;
+
+private:
+    struct window
+    {
+        millis since;
+        std::uint32_t admitted = 0;
+        std::uint64_t suppressed = 0;
+    };
+
+    table<std::string, window> windows_;
+};
+
+} // namespace briardrum
+
+#endif
