--- a/modules/config/config.hpp
+++ b/modules/config/config.hpp
@@ -6,10 +6,17 @@
 //
 // Depends on: core.
 
+#include "config/edit/configuration_check.hpp"
+#include "config/edit/configuration_diff.hpp"
+#include "config/edit/configuration_edit.hpp"
 #include "config/model/configuration.hpp"
+#include "config/model/configuration_change.hpp"
 #include "config/model/preset.hpp"
 #include "config/model/service.hpp"
 #include "config/settings/agent_settings.hpp"
 #include "config/settings/balancer_settings.hpp"
+#include "config/text/configuration_text.hpp"
+#include "config/text/configuration_values.hpp"
+#include "config/text/problem_list.hpp"
 
 #endif
--- a/modules/io/control/control_connection.cpp
+++ b/modules/io/control/control_connection.cpp
@@ -160,10 +160,9 @@
         {
             return;
         }
-        const auto message = frame.ok()
-                                 ? decode_control(**frame)
-                                 : absl::StatusOr<control_message>(
-                                       frame.status());
+        const auto message =
+            frame.ok() ? decode_control(**frame)
+                       : absl::StatusOr<control_message>(frame.status());
         if (!message.ok())
         {
             ++counters_->bad_frames;
