--- a/modules/io/udp/udp_socket.cpp
+++ b/modules/io/udp/udp_socket.cpp
@@ -103,9 +103,24 @@
     {
         flush();
     }
+    flush_later();
     return queued_.add(to);
 }
 
+auto udp_socket::flush_later() -> void
+{
+    if (std::exchange(flush_posted_, true))
+    {
+        return;
+    }
+    asio::post(socket_.get_executor(),
+               [this]
+               {
+                   flush_posted_ = false;
+                   flush();
+               });
+}
+
 auto udp_socket::flush() -> void
 {
     const auto count = queued_.count();
--- a/modules/io/udp/udp_socket.hpp
+++ b/modules/io/udp/udp_socket.hpp
@@ -33,7 +33,8 @@
 //
 // open(), then start(). Each time the socket is readable it is read until it
 // is empty or datagrams_per_pass were taken, then on_pass is called. What is
-// queued in between goes out with flush(), or when the batch is full.
+// queued goes out when the batch is full, or when the handler that queued it
+// has returned.
 class udp_socket
 {
 public:
@@ -50,9 +51,6 @@
     // until the next call.
     auto queue(const endpoint& to) -> byte_buffer&;
 
-    // Sends what is queued; what the kernel does not take is dropped.
-    auto flush() -> void;
-
     auto close() -> void;
 
     auto counters() const -> const udp_counters&;
@@ -60,12 +58,15 @@
 private:
     auto wait() -> void;
     auto read_pass() -> void;
+    auto flush() -> void;
+    auto flush_later() -> void;
 
     asio::ip::udp::socket socket_;
     receive_batch received_;
     send_batch queued_;
     udp_hooks hooks_;
     udp_counters counters_;
+    bool flush_posted_ = false;
 };
 
 } // namespace briardrum
--- a/modules/node/agent_core.cpp
+++ b/modules/node/agent_core.cpp
@@ -236,6 +236,12 @@
     }
 }
 
+auto agent_core::set_slots(millis now, std::uint32_t slots) -> void
+{
+    state_->context.members.set_slots(now, slots);
+    state_->requests.set_slots(slots);
+}
+
 auto agent_core::on_control(millis now, const control_message& message) -> void
 {
     auto& context = state_->context;
--- a/modules/node/agent_core.hpp
+++ b/modules/node/agent_core.hpp
@@ -58,6 +58,9 @@
     // The server answers its health endpoint again, or for the first time.
     auto on_server_ready(millis now) -> void;
 
+    // How many requests the server runs at once, where it says so itself.
+    auto set_slots(millis now, std::uint32_t slots) -> void;
+
     auto on_control(millis now, const control_message& message) -> void;
 
     auto tick(millis now) -> void;
