--- a/modules/config/edit/configuration_check.hpp
+++ b/modules/config/edit/configuration_check.hpp
@@ -9,10 +9,11 @@
 namespace briardrum
 {
 
-// Largest numbers of entities that one configuration may hold. A preset's
-// policies are bounded by its shares: each is at least 1 percent.
-constexpr std::size_t services_max = 20'000;
-constexpr std::size_t presets_max = 100;
+// Largest numbers of entities that one configuration may hold, so that a
+// snapshot fits one frame between processes. A preset's policies are bounded
+// by its shares: each is at least 1 percent.
+constexpr std::size_t services_max = 12'000;
+constexpr std::size_t presets_max = 20;
 
 // True for 1 to 40 lower-case letters, digits and dashes, a letter first.
 auto is_entity_name(std::string_view name) -> bool;
