--- a/modules/node/spread/configuration_spreader.cpp
+++ b/modules/node/spread/configuration_spreader.cpp
@@ -91,7 +91,6 @@
     {
         push(now);
     }
-    announce(now);
 }
 
 auto configuration_spreader::on_message(millis now, member_id from,
@@ -184,6 +183,7 @@
     const auto is_pushing = pushes_done_ < settings_.push_fanout.size();
     push_from_ = is_pushing ? std::min(push_from_, before) : before;
     pushes_done_ = 0;
+    hooks_.announce(now, version());
     if (hooks_.events)
     {
         hooks_.events(event("configuration_adopted")
@@ -280,20 +280,6 @@
     }
 }
 
-auto configuration_spreader::announce(millis now) -> void
-{
-    if (announced_ == version() || now < next_announce_)
-    {
-        return;
-    }
-    announced_ = version();
-    const auto per_member = settings_.announce_interval_per_member;
-    const auto spread = static_cast<std::int64_t>(live_members());
-    next_announce_ =
-        now + std::max(settings_.announce_interval_min, per_member * spread);
-    hooks_.announce(now, announced_);
-}
-
 auto configuration_spreader::request(const member_record& target) -> void
 {
     send(target, configuration_request{version()});
@@ -355,13 +341,6 @@
     return fitting;
 }
 
-auto configuration_spreader::live_members() const -> std::size_t
-{
-    const auto records = hooks_.records();
-    return static_cast<std::size_t>(
-        std::count_if(records.begin(), records.end(), is_live));
-}
-
 auto configuration_spreader::update_watcher(millis now) -> void
 {
     if (now < next_watcher_check_)
--- a/modules/node/spread/configuration_spreader.hpp
+++ b/modules/node/spread/configuration_spreader.hpp
@@ -37,10 +37,6 @@
     std::size_t delta_bytes_max = 256 * 1024;
     // Between two looks at which members are the watchers.
     millis watcher_interval = milliseconds(500);
-    // Between two announcements of the version held, for each live member,
-    // as every member gets each of them.
-    millis announce_interval_per_member = milliseconds(400);
-    millis announce_interval_min = seconds(1);
 };
 
 // Holds the newest configuration of one process and spreads it to others.
@@ -91,7 +87,6 @@
     auto push(millis now) -> void;
     auto push_to(const member_record& target) -> void;
     auto compare(millis now) -> void;
-    auto announce(millis now) -> void;
     auto request(const member_record& target) -> void;
     auto send(const member_record& target, control_body body) -> void;
     auto note_held(member_id id, configuration_version version) -> void;
@@ -99,7 +94,6 @@
     auto pick(std::size_t count, target_rule rule)
         -> std::vector<const member_record*>;
     auto is_behind(const member_record& record) const -> bool;
-    auto live_members() const -> std::size_t;
     auto update_watcher(millis now) -> void;
 
     spread_settings settings_;
@@ -116,12 +110,10 @@
     std::size_t pushes_done_ = 0;
     millis next_push_;
     millis next_compare_;
-    millis next_announce_;
     millis next_watcher_check_;
     millis refilled_at_;
     double push_tokens_ = 0;
     double snapshot_tokens_ = 0;
-    configuration_version announced_ = 0;
 };
 
 } // namespace briardrum
--- /dev/null
+++ b/modules/node/store/change_committer.cpp
@@ -0,0 +1,173 @@
+#include "node/store/change_committer.hpp"
+
+#include <utility>
+
+namespace briardrum
+{
+
+change_committer::change_committer(store& target, store_layout layout,
+                                   change_committer_settings settings)
+    : target_(target), layout_(std::move(layout)), settings_(settings)
+{
+}
+
+change_committer::~change_committer()
+{
+    *alive_ = false;
+}
+
+auto change_committer::begin(millis now, const edited_configuration& edited,
+                             store_revision root_revision,
+                             const history_entry& entry) -> void
+{
+    // The caller began a second change with the same committer.
+    BRIARDRUM_INVARIANT(change_id_.empty());
+    now_ = now;
+    started_ = now;
+    change_id_ = edited.after.change_id;
+    transaction_.compares.push_back({layout_.key_of(root_key),
+                                     store_compare::field::mod_revision,
+                                     root_revision});
+    for (const auto& change : edited.changes)
+    {
+        transaction_.writes.push_back(
+            {layout_.key_of(change.key), change.value, change.removed, 0});
+    }
+    transaction_.writes.push_back({layout_.history_key(edited.after.version),
+                                   write_history_entry(entry), false, 0});
+    commit();
+}
+
+auto change_committer::tick(millis now) -> void
+{
+    now_ = now;
+    if (report_.has_value())
+    {
+        return;
+    }
+    if (now >= started_ + settings_.deadline)
+    {
+        finish(may_be_written_ ? commit_outcome::unknown
+                               : commit_outcome::unavailable);
+        return;
+    }
+    if (waiting_ && now >= retry_at_)
+    {
+        waiting_ = false;
+        if (may_be_written_)
+        {
+            look_up();
+        }
+        else
+        {
+            commit();
+        }
+    }
+}
+
+auto change_committer::report() const -> const std::optional<commit_report>&
+{
+    return report_;
+}
+
+auto change_committer::commit() -> void
+{
+    // An answer that never comes must not make the change look unwritten.
+    const auto was_written = may_be_written_;
+    may_be_written_ = true;
+    target_.commit(transaction_,
+                   [this, was_written, alive = alive_](
+                       const absl::StatusOr<store_commit_result>& result)
+                   {
+                       if (*alive)
+                       {
+                           const auto is_unavailable =
+                               kind_of(result.status()) ==
+                               error_kind::unavailable;
+                           may_be_written_ = was_written || !is_unavailable;
+                           on_committed(result);
+                       }
+                   });
+}
+
+auto change_committer::look_up() -> void
+{
+    look_up_change(
+        target_, layout_, change_id_,
+        [this, alive = alive_](const absl::StatusOr<change_status>& result)
+        {
+            if (*alive)
+            {
+                on_looked_up(result);
+            }
+        });
+}
+
+auto change_committer::on_committed(
+    const absl::StatusOr<store_commit_result>& result) -> void
+{
+    if (report_.has_value())
+    {
+        return;
+    }
+    if (result.ok() && result->succeeded)
+    {
+        finish(commit_outcome::accepted);
+        return;
+    }
+    if (!result.ok())
+    {
+        reason_ = std::string(result.status().message());
+        waiting_ = true;
+        retry_at_ = now_ + settings_.retry_interval;
+        return;
+    }
+    // Compared and found changed: by another, or by an earlier sending of
+    // this one.
+    look_up();
+}
+
+auto change_committer::on_looked_up(const absl::StatusOr<change_status>& result)
+    -> void
+{
+    if (report_.has_value())
+    {
+        return;
+    }
+    if (!result.ok())
+    {
+        reason_ = std::string(result.status().message());
+        waiting_ = true;
+        retry_at_ = now_ + settings_.retry_interval;
+        return;
+    }
+    switch (result->state)
+    {
+    case change_state::accepted:
+        finish(commit_outcome::accepted);
+        return;
+    case change_state::refused:
+        finish(commit_outcome::refused, result->entry);
+        return;
+    case change_state::forgotten:
+        finish(commit_outcome::unknown);
+        return;
+    case change_state::pending:
+        // Sent again it takes effect at most once: the compare sees to it.
+        commit();
+        return;
+    }
+}
+
+auto change_committer::finish(commit_outcome outcome) -> void
+{
+    finish(outcome, std::nullopt);
+}
+
+auto change_committer::finish(commit_outcome outcome,
+                              std::optional<history_entry> winner) -> void
+{
+    report_ = commit_report{outcome, std::move(winner), reason_};
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/node/store/change_committer.hpp
@@ -0,0 +1,95 @@
+#ifndef BRIARDRUM_NODE_STORE_CHANGE_COMMITTER_HPP
+#define BRIARDRUM_NODE_STORE_CHANGE_COMMITTER_HPP
+
+#include "config/config.hpp"
+#include "core/core.hpp"
+#include "node/store/change_lookup.hpp"
+#include "node/store/store_layout.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace briardrum
+{
+
+struct change_committer_settings
+{
+    // When the outcome is reported, known or not.
+    millis deadline = seconds(15);
+    millis retry_interval = milliseconds(300);
+};
+
+enum class commit_outcome : std::uint8_t
+{
+    accepted,
+    // Another change came first; this one never takes effect.
+    refused,
+    // The store could not be asked at all; this one never takes effect.
+    unavailable,
+    // A write may still take effect; ask again by the change id.
+    unknown,
+};
+
+struct commit_report
+{
+    commit_outcome outcome = commit_outcome::unknown;
+    // The change that came first, when refused.
+    std::optional<history_entry> winner;
+    // What the store said last, when it is not known or not available.
+    std::string reason;
+};
+
+// Writes one change, once.
+//
+// The write is one transaction that compares the root value's revision, so
+// it takes effect at most once however often it is sent. When its answer is
+// lost, the history entry of its version tells whose change took effect.
+// Call begin(), then tick() until report() has a value.
+class change_committer
+{
+public:
+    change_committer(store& target, store_layout layout,
+                     change_committer_settings settings);
+    ~change_committer();
+    change_committer(const change_committer&) = delete;
+    auto operator=(const change_committer&) -> change_committer& = delete;
+
+    // root_revision is that of the configuration that was edited.
+    auto begin(millis now, const edited_configuration& edited,
+               store_revision root_revision, const history_entry& entry)
+        -> void;
+
+    auto tick(millis now) -> void;
+
+    auto report() const -> const std::optional<commit_report>&;
+
+private:
+    auto commit() -> void;
+    auto look_up() -> void;
+    auto on_committed(const absl::StatusOr<store_commit_result>& result)
+        -> void;
+    auto on_looked_up(const absl::StatusOr<change_status>& result) -> void;
+    auto finish(commit_outcome outcome) -> void;
+    auto finish(commit_outcome outcome, std::optional<history_entry> winner)
+        -> void;
+
+    store& target_;
+    store_layout layout_;
+    change_committer_settings settings_;
+    store_transaction transaction_;
+    std::string change_id_;
+    millis now_;
+    millis started_;
+    millis retry_at_;
+    bool waiting_ = false;
+    bool may_be_written_ = false;
+    std::string reason_;
+    std::optional<commit_report> report_;
+    // Callbacks that outlive this object find it gone.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/node/store/store.cpp
@@ -0,0 +1,15 @@
+#include "node/store/store.hpp"
+
+namespace briardrum
+{
+
+auto prefix_end(std::string_view prefix) -> std::string
+{
+    std::string out(prefix);
+    // The caller passed a prefix that has no key behind it.
+    BRIARDRUM_INVARIANT(!out.empty() && out.back() != '\xff');
+    ++out.back();
+    return out;
+}
+
+} // namespace briardrum
