--- a/modules/node/store/store_watcher.cpp
+++ b/modules/node/store/store_watcher.cpp
@@ -249,7 +249,8 @@
                       }));
 }
 
-// Opens the watch again when it has not told what the root value has shown.
+// Opens the watch again when it has not told what the root value has shown,
+// and reads the whole when the new one does not tell it either.
 auto store_watcher::check_lag() -> void
 {
     if (shown_revision_ <= revision_ ||
@@ -261,9 +262,17 @@
     report(event("store_watch_silent", event_level::warning)
                .with("told", static_cast<std::uint64_t>(revision_))
                .with("shown", static_cast<std::uint64_t>(shown_revision_)));
-    shown_revision_ = 0;
-    source_.cancel_watch(watch_);
-    ++*round_;
+    const auto shown = shown_revision_;
+    stop();
+    if (reopened_for_ == shown)
+    {
+        forget();
+        start(now_);
+        return;
+    }
+    reopened_for_ = shown;
+    shown_revision_ = shown;
+    shown_at_ = now_;
     open_watch();
 }
 
--- a/modules/node/store/store_watcher.hpp
+++ b/modules/node/store/store_watcher.hpp
@@ -38,8 +38,9 @@
 // It reads the root value, reads the whole only when that names another
 // version than the process holds, and then watches from there. A watch that
 // ends, or that is silent although the root value has changed, is opened
-// again where it stopped, so that missed changes come as changes. During an
-// outage it asks again at bounded intervals, and nothing else happens.
+// again where it stopped, so that missed changes come as changes; when the
+// new one is silent too, the whole is read. During an outage it asks again at
+// bounded intervals, and nothing else happens.
 class store_watcher
 {
 public:
@@ -110,6 +111,8 @@
     // What a look at the root value has shown, and since when.
     store_revision shown_revision_ = 0;
     millis shown_at_;
+    // The watch was opened again because it had not told this one.
+    store_revision reopened_for_ = 0;
     std::uint64_t silent_watches_ = 0;
 };
 
--- /dev/null
+++ b/tests/unit/store_lease_test.cpp
@@ -0,0 +1,133 @@
+#include "node/store/lease_holder.hpp"
+#include "tests/support/fake_store.hpp"
+
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace briardrum;
+using briardrum::tests::fake_store;
+
+namespace
+{
+
+constexpr auto tick_interval = milliseconds(100);
+constexpr auto lease_key = "/briardrum/totals/writer";
+
+// One process that wants to be the writer of the day's totals.
+struct writer
+{
+    fake_store way;
+    lease_holder holder;
+    bool paused = false;
+
+    writer(stand_in::memory_store& data, const std::string& name)
+        : way(data), holder(way, lease_key, name, {})
+    {
+    }
+
+    auto run(millis now) -> void
+    {
+        if (!paused)
+        {
+            way.run(now);
+            holder.tick(now);
+        }
+    }
+};
+
+struct writers
+{
+    stand_in::memory_store data;
+    writer one{data, "one"};
+    writer two{data, "two"};
+    millis now = seconds(1);
+
+    auto run(millis span) -> void
+    {
+        const auto end = now + span;
+        while (now < end)
+        {
+            now += tick_interval;
+            data.expire(now);
+            one.run(now);
+            two.run(now);
+        }
+    }
+
+    // Writes a total; true when it took effect.
+    auto write(writer& by, const std::string& value) -> bool
+    {
+        std::optional<bool> written;
+        by.holder.write({{"/briardrum/totals/day", value, false, 0}},
+                        [&](const auto& result)
+                        {
+                            written = result.ok() && result->succeeded;
+                        });
+        run(seconds(1));
+        REQUIRE(written.has_value());
+        return *written;
+    }
+
+    auto total() -> std::string
+    {
+        const auto found = data.range({"/briardrum/totals/day", "", 0, 0});
+        return found.values.empty() ? "" : found.values[0].value;
+    }
+};
+
+} // namespace
+
+TEST_CASE("one process holds the lease and writes")
+{
+    writers world;
+    world.run(seconds(60));
+    CHECK(world.one.holder.is_holder() != world.two.holder.is_holder());
+    auto& holder = world.one.holder.is_holder() ? world.one : world.two;
+    auto& other = world.one.holder.is_holder() ? world.two : world.one;
+    CHECK(world.write(holder, "1"));
+    CHECK_FALSE(world.write(other, "2"));
+    CHECK(world.total() == "1");
+}
+
+TEST_CASE("a holder that was paused past its lease writes nothing")
+{
+    writers world;
+    world.run(seconds(10));
+    auto& paused = world.one.holder.is_holder() ? world.one : world.two;
+    auto& other = world.one.holder.is_holder() ? world.two : world.one;
+    REQUIRE(world.write(paused, "before"));
+    paused.paused = true;
+    world.run(seconds(40));
+    REQUIRE(other.holder.is_holder());
+    REQUIRE(world.write(other, "after"));
+    // It wakes, still takes itself for the holder, and writes at once.
+    REQUIRE(paused.holder.is_holder());
+    bool written = true;
+    paused.holder.write({{"/briardrum/totals/day", "stale", false, 0}},
+                        [&](const auto& result)
+                        {
+                            written = result.ok() && result->succeeded;
+                        });
+    for (int n = 0; n < 10; ++n)
+    {
+        world.now += milliseconds(10);
+        paused.way.run(world.now);
+    }
+    CHECK_FALSE(written);
+    CHECK(world.total() == "after");
+    paused.paused = false;
+    world.run(seconds(10));
+    CHECK_FALSE(paused.holder.is_holder());
+}
+
+TEST_CASE("leases that the store ends early fence their holder as well")
+{
+    writers world;
+    world.run(seconds(10));
+    auto& holder = world.one.holder.is_holder() ? world.one : world.two;
+    world.data.expire_all();
+    CHECK_FALSE(world.write(holder, "stale"));
+    CHECK(world.total().empty());
+    world.run(seconds(30));
+    CHECK(world.one.holder.is_holder() != world.two.holder.is_holder());
+}
