--- a/stand_ins/store/store_gateway.cpp
+++ b/stand_ins/store/store_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "stand_ins/store/gateway_json.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <httplib.h>
@@ -33,6 +34,7 @@
 
     httplib::Server server;
     std::thread thread;
+    endpoint local;
     std::atomic<bool> stopping = false;
     std::mutex mutex;
     memory_store data;
@@ -267,7 +269,17 @@
 {
     const auto text = to_string(local);
     const auto address = text.substr(0, text.find(':'));
-    if (!state_->server.bind_to_port(address, local.port))
+    state_->local = local;
+    if (local.port == 0)
+    {
+        const auto port = state_->server.bind_to_any_port(address);
+        state_->local.port = static_cast<std::uint16_t>(std::max(port, 0));
+    }
+    else if (!state_->server.bind_to_port(address, local.port))
+    {
+        return false;
+    }
+    if (state_->local.port == 0)
     {
         return false;
     }
@@ -279,6 +291,11 @@
     return true;
 }
 
+auto store_gateway::local() const -> endpoint
+{
+    return state_->local;
+}
+
 auto store_gateway::stop() -> void
 {
     state_->stopping = true;
--- a/stand_ins/store/store_gateway.hpp
+++ b/stand_ins/store/store_gateway.hpp
@@ -22,9 +22,12 @@
     auto operator=(const store_gateway&) -> store_gateway& = delete;
 
     // Binds and starts answering on threads of its own; false when the
-    // address cannot be had.
+    // address cannot be had. Port 0 takes any that is free.
     auto start(const endpoint& local) -> bool;
 
+    // Where it answers.
+    auto local() const -> endpoint;
+
     auto stop() -> void;
 
 private:
