Joiners learn their peers from their peers; an unknown owner is not a lost one

Ruled out: a longer minimum wait (control messages may take 3 s and more); asking the next in the order, which is not known either. Conclusion: a joiner waits until it is synchronised, and for every peer that any peer names; a redirect is dropped only when its owner is known to be gone.

--- a/bench/rig/fake_caller.cpp
+++ b/bench/rig/fake_caller.cpp
@@ -194,7 +194,7 @@
     }
     current_.open = false;
     ++totals_.missing;
-    mark_broken();
+    mark_broken("missing " + current_.key);
     plan_next();
 }
 
@@ -251,7 +251,7 @@
     else if (text == "outcome unknown")
     {
         ++totals_.outcome_unknown;
-        mark_broken();
+        mark_broken("unknown " + current_.key);
     }
     else
     {
@@ -286,7 +286,7 @@
     }
     if (queue_.now() - stream_heard_ > profile_.stream_silence_max)
     {
-        mark_broken();
+        mark_broken("stream silent");
         stream_token_ = 0;
         return;
     }
@@ -311,8 +311,11 @@
     return text.substr(0, first) == service_;
 }
 
-auto fake_caller::mark_broken() -> void
+auto fake_caller::mark_broken(const std::string& why) -> void
 {
+    totals_.notes.push_back(std::to_string(queue_.now().count) + " " + name_ +
+                            " at " + server_ + (excused_ ? " excused " : " ") +
+                            why);
     if (broken_)
     {
         return;
--- a/bench/rig/fake_caller.hpp
+++ b/bench/rig/fake_caller.hpp
@@ -48,6 +48,8 @@
     std::uint64_t excused_flows = 0;
     // Business keys of confirmations that were told "not run".
     std::vector<std::string> not_run_keys;
+    // What went wrong, one line each: time, flow, what.
+    std::vector<std::string> notes;
     // Latency in ms of each answered request.
     std::vector<std::int64_t> latencies;
 };
@@ -105,7 +107,7 @@
     auto on_notification(const coap_view& view) -> void;
     auto check_stream() -> void;
     auto read_payload(const coap_view& view, std::string& key) -> bool;
-    auto mark_broken() -> void;
+    auto mark_broken(const std::string& why) -> void;
     auto plan_next() -> void;
 
     std::string name_;
--- a/bench/rig/fake_server.cpp
+++ b/bench/rig/fake_server.cpp
@@ -164,7 +164,7 @@
     if (done.observe && code == 205)
     {
         const auto name = stream_name(done.flow, done.token);
-        streams_[name] = {done.flow, done.token, 1, 0};
+        streams_[name] = {done.flow, done.token, done.key, 1};
         coap_edit edit;
         edit.observe = 1;
         datagram = *edit_coap(datagram, edit);
@@ -191,7 +191,7 @@
     out.code = 205;
     out.message_id = next_message_id_++;
     out.token = item.token;
-    const auto text = service_ + "|" + name_ + "|stream";
+    const auto text = service_ + "|" + name_ + "|" + item.key;
     out.text = text;
     coap_edit edit;
     edit.observe = item.sequence;
--- a/bench/rig/fake_server.hpp
+++ b/bench/rig/fake_server.hpp
@@ -68,8 +68,8 @@
     {
         flow_key flow;
         byte_buffer token;
+        std::string key;
         std::uint32_t sequence = 1;
-        std::uint64_t life = 0;
     };
 
     auto start(job next) -> void;
--- a/bench/rig/rig.cpp
+++ b/bench/rig/rig.cpp
@@ -620,7 +620,10 @@
     std::vector<node*> live;
     for (const auto& it : state_->nodes)
     {
-        if (it->kind == member_kind::balancer && it->alive)
+        // As a fabric that asks each balancer whether it can serve.
+        const auto serves = it->kind == member_kind::balancer && it->alive &&
+                            it->balancer->members().has_synchronised();
+        if (serves)
         {
             live.push_back(it.get());
         }
--- a/modules/membership/member_view.cpp
+++ b/modules/membership/member_view.cpp
@@ -403,6 +403,11 @@
     }
 }
 
+auto member_view::has_synchronised() const -> bool
+{
+    return answers_ >= join_answers;
+}
+
 auto member_view::resynchronise() -> void
 {
     answers_ = 0;
--- a/modules/membership/member_view.hpp
+++ b/modules/membership/member_view.hpp
@@ -68,6 +68,9 @@
     // end.
     auto is_replaced() const -> bool;
 
+    // True once enough other members told this newcomer all they know.
+    auto has_synchronised() const -> bool;
+
     // True when nothing was heard from any other member for a while.
     auto is_isolated(millis now) const -> bool;
 
--- a/modules/node/agent/agent_context.cpp
+++ b/modules/node/agent/agent_context.cpp
@@ -97,6 +97,18 @@
     }
 }
 
+auto agent_context::trace(std::string_view name, const flow_key& flow,
+                          std::string_view key, std::uint64_t value) const
+    -> void
+{
+    if (hooks.events)
+    {
+        hooks.events(event(name, event_level::debug)
+                         .with("flow", to_string(flow))
+                         .with(key, value));
+    }
+}
+
 auto agent_context::choose_balancer(const flow_key& flow) const
     -> const member_record*
 {
--- a/modules/node/agent/agent_context.hpp
+++ b/modules/node/agent/agent_context.hpp
@@ -41,6 +41,10 @@
 
     auto emit(const event& item) const -> void;
 
+    // Emits a debug event about one flow, if anybody listens.
+    auto trace(std::string_view name, const flow_key& flow,
+               std::string_view key, std::uint64_t value) const -> void;
+
     // Called by request_path: how full the server is, for answers.
     std::uint8_t saturation = 0;
 
--- a/modules/node/agent/flow_mover.cpp
+++ b/modules/node/agent/flow_mover.cpp
@@ -172,6 +172,8 @@
     --moving_;
     context_.flows.erase(record.key);
     context_.counters.add(agent_counter::flows_handed_over);
+    context_.trace("flow_handed_over", record.key, "generation",
+                   record.generation);
     const auto* receiver = context_.members.find(to);
     const auto life = receiver == nullptr ? 0 : receiver->life;
     context_.redirects.set(now, {record.key, to, life, record.generation});
@@ -203,6 +205,8 @@
 auto flow_mover::adopt(millis now, const flow_record& record) -> void
 {
     context_.counters.add(agent_counter::flows_received);
+    context_.trace("flow_received", record.key, "generation",
+                   record.generation);
     context_.redirects.erase(record.key);
     const auto known = context_.flows.find(record.key) != nullptr;
     auto& row = context_.flows.insert(record.key);
--- a/modules/node/agent/flow_router.cpp
+++ b/modules/node/agent/flow_router.cpp
@@ -154,6 +154,7 @@
     // The owner itself sent it here: it does not have the flow any more.
     if (gone || message.from_agent == found->owner)
     {
+        context_.trace("redirect_dropped", flow, "from", message.from_agent);
         context_.redirects.erase(flow);
         return false;
     }
@@ -222,6 +223,7 @@
     row.balancer = message.balancer;
     row.last_used = now;
     context_.counters.add(agent_counter::flows_placed);
+    context_.trace("flow_placed", flow, "hops", message.hops);
     announcer_.on_flow_owned(now, flow);
 }
 
--- a/modules/node/agent/redirect_announcer.cpp
+++ b/modules/node/agent/redirect_announcer.cpp
@@ -58,19 +58,22 @@
                          it.owner == context_.members.self().id;
         if (!own)
         {
+            context_.trace("redirect_learnt", it.key, "owner", it.owner);
             context_.redirects.set(now, it);
         }
     }
     if (message.last)
     {
-        heard_.insert(from) = context_.members.self().life;
+        heard_.insert(from);
+        named_.insert(message.peers.begin(), message.peers.end());
     }
 }
 
 auto redirect_announcer::start_joining(millis now) -> void
 {
     joining_since_ = now;
-    heard_ = {};
+    heard_.clear();
+    named_.clear();
 }
 
 auto redirect_announcer::has_joined(millis now) const -> bool
@@ -84,20 +87,18 @@
     {
         return true;
     }
-    const auto& self = context_.members.self();
-    for (const auto id : context_.members.agents_of(self.service_name))
+    if (!context_.members.has_synchronised())
     {
-        if (id == self.id)
-        {
-            continue;
-        }
-        const auto* life = heard_.find(id);
-        if (life == nullptr || *life != self.life)
-        {
-            return false;
-        }
+        return false;
     }
-    return true;
+    const auto unheard = [this](member_id peer)
+    {
+        return must_hear(peer);
+    };
+    const auto known =
+        context_.members.agents_of(context_.members.self().service_name);
+    return std::none_of(known.begin(), known.end(), unheard) &&
+           std::none_of(named_.begin(), named_.end(), unheard);
 }
 
 auto redirect_announcer::tick(millis now) -> void
@@ -177,10 +178,20 @@
     batches_ = {};
 }
 
+auto redirect_announcer::must_hear(member_id peer) const -> bool
+{
+    const auto* record = context_.members.find(peer);
+    const auto gone =
+        record != nullptr && record->state >= member_state::left;
+    return peer != context_.members.self().id && !gone &&
+           !heard_.contains(peer);
+}
+
 auto redirect_announcer::finish_joiners(millis now) -> void
 {
     const auto& self = context_.members.self();
-    for (const auto id : context_.members.agents_of(self.service_name))
+    const auto peers = context_.members.agents_of(self.service_name);
+    for (const auto id : peers)
     {
         const auto* record = context_.members.find(id);
         const auto joining =
@@ -197,6 +208,7 @@
         finished_.insert(id) = record->life;
         redirects_message done;
         done.last = true;
+        done.peers.assign(peers.begin(), peers.end());
         transfers_.start(now, id, std::move(done));
     }
 }
--- a/modules/node/agent/redirect_announcer.hpp
+++ b/modules/node/agent/redirect_announcer.hpp
@@ -3,6 +3,7 @@
 
 #include "node/agent/agent_context.hpp"
 
+#include <set>
 #include <vector>
 
 namespace briardrum
@@ -16,8 +17,8 @@
 {
 public:
     // How long a joiner waits for a peer that does not answer.
-    static constexpr millis join_bound = seconds(3);
-    // How long a joiner waits to hear of its peers at all.
+    static constexpr millis join_bound = seconds(5);
+    // How long a joiner waits at least, so that its peers hear of it.
     static constexpr millis join_minimum = milliseconds(800);
 
     redirect_announcer(agent_context& context, transfer_table& transfers);
@@ -46,6 +47,7 @@
     auto announce_redirect(const redirect_record& record) -> void;
     auto tell(member_id to, const redirect_record& record) -> void;
     auto send_batches(millis now) -> void;
+    auto must_hear(member_id peer) const -> bool;
     auto finish_joiners(millis now) -> void;
 
     agent_context& context_;
@@ -53,8 +55,9 @@
     table<member_id, std::vector<redirect_record>> batches_;
     // Joiners that were told all, with the life they were told in.
     table<member_id, incarnation> finished_;
-    // Peers that told us all since we began to join, with our life then.
-    table<member_id, incarnation> heard_;
+    // Peers that told us all since we began to join, and those they named.
+    std::set<member_id> heard_;
+    std::set<member_id> named_;
     millis joining_since_;
     incarnation last_life_ = 0;
 };
--- a/modules/node/agent/request_path.cpp
+++ b/modules/node/agent/request_path.cpp
@@ -154,6 +154,8 @@
         context_.counters.add(kind == error_kind::cookie_missing
                                   ? agent_counter::cookie_missing
                                   : agent_counter::cookie_invalid);
+        context_.trace(answer_for(kind).name, flow, "generation",
+                       row.generation);
         refuse(id, kind, {});
         return;
     }
--- a/modules/wire/codec/control_decode.cpp
+++ b/modules/wire/codec/control_decode.cpp
@@ -158,10 +158,17 @@
 
 auto read(decode_guard& guard, const schema::redirects& from) -> control_body
 {
-    return redirects_message{from.sequence(),
-                             read_all(guard, from.records(),
-                                      sizeof(schema::redirect), read_redirect),
-                             from.last()};
+    redirects_message message;
+    message.sequence = from.sequence();
+    message.redirects = read_all(guard, from.records(),
+                                 sizeof(schema::redirect), read_redirect);
+    message.last = from.last();
+    if (from.peers() != nullptr &&
+        guard.take(from.peers()->size() * sizeof(member_id)))
+    {
+        message.peers.assign(from.peers()->begin(), from.peers()->end());
+    }
+    return message;
 }
 
 auto read(decode_guard& guard, const schema::hand_over& from) -> control_body
--- a/modules/wire/codec/control_encode.cpp
+++ b/modules/wire/codec/control_encode.cpp
@@ -143,8 +143,10 @@
         records.push_back(to_schema(item));
     }
     const auto stored = out.CreateVectorOfStructs(records);
+    const auto peers = out.CreateVector(message.peers);
     return {schema::control_body::redirects,
-            schema::Createredirects(out, message.sequence, stored, message.last)
+            schema::Createredirects(out, message.sequence, stored, message.last,
+                                    peers)
                 .Union()};
 }
 
--- a/modules/wire/messages/control_message.hpp
+++ b/modules/wire/messages/control_message.hpp
@@ -43,12 +43,15 @@
 };
 
 // A joining server's future flows: the redirects of flows whose home it will
-// become. last marks the final part; acknowledged by sequence.
+// become. last marks the final part, which names every other agent of the
+// service that the sender knows, so that a joiner waits for those too that it
+// has not heard of itself. Acknowledged by sequence.
 struct redirects_message
 {
     std::uint64_t sequence = 0;
     std::vector<redirect_record> redirects;
     bool last = false;
+    std::vector<member_id> peers;
 
     auto operator==(const redirects_message&) const -> bool = default;
 };
