Balancer: hints, queues, shares, drop policy

Each service is guaranteed its share of what is served and of the room to wait in; what is left goes to the most urgent; when room is short the packet that waits longest in the service furthest over its share is dropped. One pool of packets is allocated once, so that a flood changes no memory. A flow follows the agent that answered it last; without a hint it goes to its home among the same candidates as the agents use.

Ruled out: weight by warm-up percent in the balancer alone, since agents order by slots and would correct every such choice with one more hop. Ruled out: dropping answers whose address differs from the configuration here, since configurations reach balancers unevenly; only an address of another service is refused.

--- /dev/null
+++ b/modules/routing/choice/service_targets.cpp
@@ -0,0 +1,47 @@
+#include "routing/choice/service_targets.hpp"
+
+#include <algorithm>
+
+namespace briardrum
+{
+
+auto service_targets::refresh(const member_view& members,
+                              const std::string& service_name) -> void
+{
+    if (members.epoch() == epoch_)
+    {
+        return;
+    }
+    epoch_ = members.epoch();
+    candidates_.refresh(members, service_name);
+    targets_.clear();
+    for (const auto id : members.agents_of(service_name))
+    {
+        const auto& record = *members.find(id);
+        targets_.push_back({id, record.life, record.data_address});
+    }
+}
+
+auto service_targets::find(member_id id) const -> const service_target*
+{
+    const auto it = std::lower_bound(targets_.begin(), targets_.end(), id,
+                                     [](const auto& item, member_id wanted)
+                                     {
+                                         return item.id < wanted;
+                                     });
+    return it == targets_.end() || it->id != id ? nullptr : &*it;
+}
+
+auto service_targets::home_of(const flow_key& flow) const
+    -> const service_target*
+{
+    const auto id = rendezvous_first(flow, candidates_.serving());
+    return id == 0 ? nullptr : find(id);
+}
+
+auto service_targets::size() const -> std::size_t
+{
+    return targets_.size();
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/routing/queues/service_queue.hpp
@@ -0,0 +1,48 @@
+#ifndef BRIARDRUM_ROUTING_QUEUES_SERVICE_QUEUE_HPP
+#define BRIARDRUM_ROUTING_QUEUES_SERVICE_QUEUE_HPP
+
+#include "routing/queues/packet_pool.hpp"
+
+namespace briardrum
+{
+
+// Packets of one service in the order they came. The packets belong to the
+// pool; the queue links them and allocates nothing.
+class service_queue
+{
+public:
+    auto push(packet_pool& pool, packet_index index) -> void;
+
+    // Takes the packet that waits longest; the queue must not be empty.
+    auto pop(packet_pool& pool) -> packet_index;
+
+    auto oldest() const -> packet_index
+    {
+        return head_;
+    }
+
+    auto count() const -> std::size_t
+    {
+        return count_;
+    }
+
+    auto bytes() const -> std::size_t
+    {
+        return bytes_;
+    }
+
+    auto empty() const -> bool
+    {
+        return count_ == 0;
+    }
+
+private:
+    packet_index head_ = no_packet;
+    packet_index tail_ = no_packet;
+    std::size_t count_ = 0;
+    std::size_t bytes_ = 0;
+};
+
+} // namespace briardrum
+
+#endif
