--- a/modules/node/balancer_core.cpp
+++ b/modules/node/balancer_core.cpp
@@ -137,7 +137,7 @@
     balancer_counters counters;
 };
 
-balancer_core::balancer_core(member_record self,
+balancer_core::balancer_core(const member_record& self,
                              std::vector<endpoint> start_addresses,
                              membership_settings settings, balancer_hooks hooks,
                              std::uint64_t seed)
--- a/modules/node/balancer_core.hpp
+++ b/modules/node/balancer_core.hpp
@@ -40,7 +40,8 @@
 class balancer_core
 {
 public:
-    balancer_core(member_record self, std::vector<endpoint> start_addresses,
+    balancer_core(const member_record& self,
+                  std::vector<endpoint> start_addresses,
                   membership_settings settings, balancer_hooks hooks,
                   std::uint64_t seed);
     ~balancer_core();
--- a/modules/routing/queues/packet_pool.hpp
+++ b/modules/routing/queues/packet_pool.hpp
@@ -23,7 +23,7 @@
     millis queued_at;
     packet_index next = no_packet;
     std::uint16_t size = 0;
-    std::array<std::uint8_t, coap_datagram_max> bytes;
+    std::array<std::uint8_t, coap_datagram_max> bytes{};
 
     auto datagram() const -> byte_view
     {
--- a/tests/fakes/membership_fleet.cpp
+++ b/tests/fakes/membership_fleet.cpp
@@ -53,7 +53,7 @@
 {
 }
 
-auto membership_fleet::start(member_record record,
+auto membership_fleet::start(const member_record& record,
                              std::optional<std::size_t> place) -> std::size_t
 {
     const auto at = place.value_or(nodes_.size());
@@ -69,9 +69,8 @@
     auto& item = nodes_[at];
     item = {};
     item.address = record.control_address;
-    item.view = std::make_unique<member_view>(std::move(record), starts,
-                                              membership_settings{},
-                                              hooks_for(at), random_.bits());
+    item.view = std::make_unique<member_view>(
+        record, starts, membership_settings{}, hooks_for(at), random_.bits());
     return at;
 }
 
--- a/tests/fakes/membership_fleet.hpp
+++ b/tests/fakes/membership_fleet.hpp
@@ -34,8 +34,8 @@
 
     // Starts a member with the control address of member 0 to start from.
     // Takes the place of a stopped one when place is given.
-    auto start(member_record record, std::optional<std::size_t> place = {})
-        -> std::size_t;
+    auto start(const member_record& record,
+               std::optional<std::size_t> place = {}) -> std::size_t;
 
     // Ends a process: its messages and its memory are lost.
     auto stop(std::size_t place) -> void;
