--- a/modules/config/config.hpp
+++ b/modules/config/config.hpp
@@ -13,6 +13,8 @@
 #include "config/model/configuration_change.hpp"
 #include "config/model/preset.hpp"
 #include "config/model/service.hpp"
+#include "config/settings/agent_settings.hpp"
+#include "config/settings/balancer_settings.hpp"
 #include "config/text/configuration_text.hpp"
 #include "config/text/configuration_values.hpp"
 #include "config/text/problem_list.hpp"
