--- a/modules/io/server/server_announcement.cpp
+++ b/modules/io/server/server_announcement.cpp
@@ -4,7 +4,8 @@
 #include "wire/coap/coap_option_writer.hpp"
 #include "wire/wire.hpp"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+#include <charconv>
 
 namespace briardrum
 {
@@ -15,36 +16,50 @@
 constexpr std::uint8_t method_get = 1;
 constexpr std::uint8_t code_content = 0x45;
 constexpr std::uint8_t token_bytes = 2;
-constexpr std::uint64_t slots_max = 100000;
+constexpr std::uint32_t slots_max = 100000;
 
 auto malformed(const std::string& message) -> absl::Status
 {
     return make_error(error_kind::malformed, message);
 }
 
+auto read_slots(std::string_view text, std::uint32_t& out) -> bool
+{
+    const auto* end = text.data() + text.size();
+    const auto [next, ec] = std::from_chars(text.data(), end, out);
+    return ec == std::errc{} && next == end && out <= slots_max;
+}
+
 } // namespace
 
 auto parse_announcement(byte_view payload)
     -> absl::StatusOr<server_announcement>
 {
-    const auto document =
-        nlohmann::json::parse(payload.begin(), payload.end(), nullptr, false);
-    if (!document.is_object() || !document.contains("service") ||
-        !document["service"].is_string())
-    {
-        return malformed("the announcement names no service");
-    }
     server_announcement out;
-    out.service = document["service"].get<std::string>();
-    const auto slots = document.find("slots");
-    if (slots != document.end())
+    std::string_view rest(reinterpret_cast<const char*>(payload.data()),
+                          payload.size());
+    while (!rest.empty())
     {
-        if (!slots->is_number_unsigned() ||
-            slots->get<std::uint64_t>() > slots_max)
+        const auto pair = rest.substr(0, rest.find(' '));
+        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        const auto cut = pair.find('=');
+        if (cut == std::string_view::npos)
+        {
+            return malformed("the announcement has no key=value pairs");
+        }
+        const auto value = pair.substr(cut + 1);
+        if (pair.substr(0, cut) == "service")
+        {
+            out.service = std::string(value);
+        }
+        if (pair.substr(0, cut) == "slots" && !read_slots(value, out.slots))
         {
             return malformed("the announcement's slots are no number");
         }
-        out.slots = slots->get<std::uint32_t>();
+    }
+    if (out.service.empty())
+    {
+        return malformed("the announcement names no service");
     }
     return out;
 }
--- a/modules/io/server/server_announcement.hpp
+++ b/modules/io/server/server_announcement.hpp
@@ -9,8 +9,8 @@
 namespace briardrum
 {
 
-// Path at which a backend server announces itself, by a JSON object:
-// {"service": "manifest", "slots": 5}. Further fields are passed over.
+// Path at which a backend server announces itself, by one line of key=value
+// pairs: "service=manifest slots=5". Further keys are passed over.
 constexpr std::string_view announcement_path = "/.well-known/briardrum";
 
 // What a backend server says of itself.
