Operators' command: services, presets, use, status, history, rotate-key

Cause: operators change the fleet only by editing presets and choosing one, while the store may be slow, down or silent after a write. Each command reads, checks the whole, writes one transaction and prints accepted, refused with who won, nothing written, or not known yet with the change id. Exit codes come from the error table. Ruled out: merging two operators' edits; the second is refused and told both differences.

--- a/modules/config/text/entity_text.cpp
+++ b/modules/config/text/entity_text.cpp
@@ -206,6 +206,29 @@
     return out;
 }
 
+auto read_policy_fields(const nlohmann::json& object, const std::string& path,
+                        problem_list& problems) -> policy_fields
+{
+    const auto value = read_policy(object, path, problems);
+    policy_fields out;
+    const auto take = [&](const char* name, auto& target, auto found)
+    {
+        if (object.contains(name))
+        {
+            target = found;
+        }
+    };
+    take("share_percent", out.share_percent, value.share_percent);
+    take("urgency", out.level, value.level);
+    take("queue_limit", out.queue_limit, value.queue_limit);
+    take("default_deadline_ms", out.default_deadline, value.default_deadline);
+    take("objective_ppm", out.objective_ppm, value.objective_ppm);
+    take("objective_latency_ms", out.objective_latency,
+         value.objective_latency);
+    take("retry_percent", out.retry_percent, value.retry_percent);
+    return out;
+}
+
 auto read_cookie_key(const nlohmann::json& object, const std::string& path,
                      problem_list& problems) -> cookie_key
 {
--- a/modules/config/text/entity_text.hpp
+++ b/modules/config/text/entity_text.hpp
@@ -1,6 +1,7 @@
 #ifndef BRIARDRUM_CONFIG_TEXT_ENTITY_TEXT_HPP
 #define BRIARDRUM_CONFIG_TEXT_ENTITY_TEXT_HPP
 
+#include "config/edit/configuration_edit.hpp"
 #include "config/model/configuration.hpp"
 #include "config/text/problem_list.hpp"
 
@@ -26,6 +27,9 @@
 auto read_policy(const nlohmann::json& object, const std::string& path,
                  problem_list& problems, const service_policy& base = {})
     -> service_policy;
+// The fields of a policy that the object names.
+auto read_policy_fields(const nlohmann::json& object, const std::string& path,
+                        problem_list& problems) -> policy_fields;
 auto read_cookie_key(const nlohmann::json& object, const std::string& path,
                      problem_list& problems) -> cookie_key;
 
--- a/programs/briardrum.cpp
+++ b/programs/briardrum.cpp
@@ -1,9 +1,6 @@
-#include "core/core.hpp"
+#include "io/operator/operator_command.hpp"
 
-#include <cstdio>
-
-auto main() -> int
+auto main(int argc, char** argv) -> int
 {
-    std::puts("briardrum " BRIARDRUM_VERSION);
-    return 0;
+    return briardrum::run_operator(argc, argv);
 }
--- a/stand_ins/store.cpp
+++ b/stand_ins/store.cpp
@@ -37,7 +37,8 @@
         return briardrum::answer_for(briardrum::error_kind::unavailable)
             .exit_code;
     }
-    std::printf("event=store_started address=%s\n", address.c_str());
+    std::printf("event=store_started address=%s\n",
+                to_string(gateway.local()).c_str());
     std::fflush(stdout);
     int signal = 0;
     sigwait(&signals, &signal);
--- a/stand_ins/store/store_faults.hpp
+++ b/stand_ins/store/store_faults.hpp
@@ -19,6 +19,8 @@
     millis slow;
     // Writes are done and their answers lost; this many of them.
     std::uint32_t lose_answers = 0;
+    // The next write is done, its answer lost, and the store down from then.
+    bool down_after_write = false;
     // Watches stay open and tell nothing.
     bool silent_watches = false;
     // Every event is told twice.
--- a/stand_ins/store/store_gateway.cpp
+++ b/stand_ins/store/store_gateway.cpp
@@ -54,6 +54,11 @@
     auto take_lost_answer() -> bool
     {
         const std::lock_guard lock(mutex);
+        if (faults.down_after_write)
+        {
+            faults.down = true;
+            return true;
+        }
         if (faults.lose_answers == 0)
         {
             return false;
--- a/tests/unit/store_client_test.cpp
+++ b/tests/unit/store_client_test.cpp
@@ -1,6 +1,6 @@
 #include "io/store/store_client.hpp"
+#include "io/threads/task_queue.hpp"
 #include "stand_ins/store/store_gateway.hpp"
-#include "tests/support/task_queue.hpp"
 
 #include <doctest/doctest.h>
 #include <httplib.h>
@@ -17,7 +17,7 @@
 struct client_and_store
 {
     stand_in::store_gateway gateway{{}};
-    tests::task_queue tasks;
+    task_queue tasks;
     std::unique_ptr<store_client> client;
 
     client_and_store()
@@ -34,6 +34,15 @@
                                            });
     }
 
+    template <typename Condition>
+    auto run_until(Condition condition) -> void
+    {
+        while (!condition())
+        {
+            tasks.run_one(milliseconds(100));
+        }
+    }
+
     auto set_faults(const std::string& text) -> void
     {
         httplib::Client control("127.0.0.1", gateway.local().port);
@@ -52,7 +61,7 @@
             {
                 out = result;
             });
-        tasks.run_until(
+        run_until(
             [&]
             {
                 return out.has_value();
@@ -135,14 +144,14 @@
             events.insert(events.end(), batch->events.begin(),
                           batch->events.end());
         });
-    world.tasks.run_until(
+    world.run_until(
         [&]
         {
             return events.size() == 1;
         });
     CHECK(events[0].value == odd_value);
     world.put("/k/2", "two", 0).IgnoreError();
-    world.tasks.run_until(
+    world.run_until(
         [&]
         {
             return events.size() == 2;
