--- a/modules/io/daemons/agent_daemon.cpp
+++ b/modules/io/daemons/agent_daemon.cpp
@@ -1,5 +1,6 @@
 #include "io/daemons/agent_daemon.hpp"
 
+#include "io/daemons/feed_metrics.hpp"
 #include "io/daemons/member_metrics.hpp"
 
 #include <utility>
@@ -20,7 +21,7 @@
       sessions_(host_.context(), settings.server, make_session_hooks()),
       probe_(host_.context(), settings.server, settings.service,
              make_probe_hooks()),
-      core_(make_core())
+      core_(make_core()), feed_(make_feed())
 {
 }
 
@@ -61,6 +62,27 @@
                                         self.id ^ self.life);
 }
 
+auto agent_daemon::make_feed() -> std::unique_ptr<configuration_feed>
+{
+    configuration_feed_hooks hooks;
+    hooks.send = [this](const endpoint& to, const control_message& it)
+    {
+        host_.send_control(to, it);
+    };
+    hooks.post = [this](std::function<void()> task)
+    {
+        asio::post(host_.context(), std::move(task));
+    };
+    hooks.adopted = [this](millis now, std::shared_ptr<const configuration> it)
+    {
+        core_->adopt(now, std::move(it));
+    };
+    hooks.events = host_.events();
+    return std::make_unique<configuration_feed>(
+        settings_.process.store, core_->members(), std::move(hooks),
+        member_id_of(settings_.process.name) + host_.life());
+}
+
 auto agent_daemon::make_session_hooks() -> server_sessions_hooks
 {
     server_sessions_hooks out;
@@ -104,7 +126,7 @@
 
 auto agent_daemon::adopt(std::shared_ptr<const configuration> next) -> void
 {
-    core_->adopt(clock::now(), std::move(next));
+    feed_->on_file(clock::now(), std::move(next));
 }
 
 auto agent_daemon::make_host_hooks() -> process_host_hooks
@@ -112,7 +134,10 @@
     process_host_hooks out;
     out.on_control = [this](millis now, const control_message& message)
     {
-        core_->on_control(now, message);
+        if (!feed_->on_control(now, message))
+        {
+            core_->on_control(now, message);
+        }
     };
     out.on_tick = [this](millis now)
     {
@@ -168,6 +193,7 @@
     probe_.tick(now);
     sessions_.tick(now);
     core_->tick(now);
+    feed_->tick(now);
 }
 
 auto agent_daemon::health() -> health_report
@@ -200,6 +226,7 @@
     append_socket_metrics(out, "data", data_.counters());
     data_errors_.append_to(out);
     append_member_metrics(out, core_->members());
+    append_feed_metrics(out, *feed_);
 }
 
 } // namespace briardrum
--- a/modules/io/daemons/agent_daemon.hpp
+++ b/modules/io/daemons/agent_daemon.hpp
@@ -5,6 +5,7 @@
 #include "io/daemons/process_host.hpp"
 #include "io/server/server_probe.hpp"
 #include "io/server/server_sessions.hpp"
+#include "io/store/configuration_feed.hpp"
 #include "io/udp/udp_socket.hpp"
 #include "node/node.hpp"
 
@@ -25,6 +26,8 @@
     // be had.
     auto start() -> absl::Status;
 
+    // A configuration to start with, until peers or the store have a newer
+    // one.
     auto adopt(std::shared_ptr<const configuration> next) -> void;
 
     // Works until a signal ends it; gives the exit code.
@@ -32,6 +35,7 @@
 
 private:
     auto make_core() -> std::unique_ptr<agent_core>;
+    auto make_feed() -> std::unique_ptr<configuration_feed>;
     auto make_host_hooks() -> process_host_hooks;
     auto make_session_hooks() -> server_sessions_hooks;
     auto make_probe_hooks() -> server_probe_hooks;
@@ -47,6 +51,7 @@
     server_sessions sessions_;
     server_probe probe_;
     std::unique_ptr<agent_core> core_;
+    std::unique_ptr<configuration_feed> feed_;
 };
 
 } // namespace briardrum
--- a/modules/io/daemons/balancer_daemon.cpp
+++ b/modules/io/daemons/balancer_daemon.cpp
@@ -1,5 +1,6 @@
 #include "io/daemons/balancer_daemon.hpp"
 
+#include "io/daemons/feed_metrics.hpp"
 #include "io/daemons/member_metrics.hpp"
 
 #include <utility>
@@ -24,7 +25,8 @@
     : settings_(settings), host_(settings.process, tick_interval),
       packets_(host_.context()), data_(host_.context()),
       packet_errors_("packets", host_.events()),
-      data_errors_("data", host_.events()), core_(make_core())
+      data_errors_("data", host_.events()), core_(make_core()),
+      feed_(make_feed())
 {
 }
 
@@ -61,6 +63,27 @@
         self.id ^ self.life);
 }
 
+auto balancer_daemon::make_feed() -> std::unique_ptr<configuration_feed>
+{
+    configuration_feed_hooks hooks;
+    hooks.send = [this](const endpoint& to, const control_message& it)
+    {
+        host_.send_control(to, it);
+    };
+    hooks.post = [this](std::function<void()> task)
+    {
+        asio::post(host_.context(), std::move(task));
+    };
+    hooks.adopted = [this](millis now, std::shared_ptr<const configuration> it)
+    {
+        core_->adopt(now, std::move(it));
+    };
+    hooks.events = host_.events();
+    return std::make_unique<configuration_feed>(
+        settings_.process.store, core_->members(), std::move(hooks),
+        member_id_of(settings_.process.name) + host_.life());
+}
+
 auto balancer_daemon::start() -> absl::Status
 {
     auto status = packets_.open(settings_.packets);
@@ -73,7 +96,7 @@
 
 auto balancer_daemon::adopt(std::shared_ptr<const configuration> next) -> void
 {
-    core_->adopt(clock::now(), std::move(next));
+    feed_->on_file(clock::now(), std::move(next));
 }
 
 auto balancer_daemon::make_host_hooks() -> process_host_hooks
@@ -81,11 +104,15 @@
     process_host_hooks out;
     out.on_control = [this](millis now, const control_message& message)
     {
-        core_->on_control(now, message);
+        if (!feed_->on_control(now, message))
+        {
+            core_->on_control(now, message);
+        }
     };
     out.on_tick = [this](millis now)
     {
         core_->tick(now);
+        feed_->tick(now);
     };
     out.on_stop = [this](millis now)
     {
@@ -212,6 +239,7 @@
     packet_errors_.append_to(out);
     data_errors_.append_to(out);
     append_member_metrics(out, core_->members());
+    append_feed_metrics(out, *feed_);
 }
 
 } // namespace briardrum
--- a/modules/io/daemons/balancer_daemon.hpp
+++ b/modules/io/daemons/balancer_daemon.hpp
@@ -3,6 +3,7 @@
 
 #include "io/daemons/datagram_errors.hpp"
 #include "io/daemons/process_host.hpp"
+#include "io/store/configuration_feed.hpp"
 #include "io/udp/udp_socket.hpp"
 #include "node/node.hpp"
 
@@ -23,6 +24,8 @@
     // be had.
     auto start() -> absl::Status;
 
+    // A configuration to start with, until peers or the store have a newer
+    // one.
     auto adopt(std::shared_ptr<const configuration> next) -> void;
 
     // Works until a signal ends it; gives the exit code.
@@ -30,6 +33,7 @@
 
 private:
     auto make_core() -> std::unique_ptr<balancer_core>;
+    auto make_feed() -> std::unique_ptr<configuration_feed>;
     auto make_host_hooks() -> process_host_hooks;
     auto on_packet(const endpoint& from, byte_view bytes) -> void;
     auto on_data(const endpoint& from, byte_view bytes) -> void;
@@ -45,6 +49,7 @@
     datagram_errors packet_errors_;
     datagram_errors data_errors_;
     std::unique_ptr<balancer_core> core_;
+    std::unique_ptr<configuration_feed> feed_;
     millis busy_at_;
     bool serve_posted_ = false;
 };
--- a/modules/io/operator/operator_options.cpp
+++ b/modules/io/operator/operator_options.cpp
@@ -34,7 +34,7 @@
         return;
     }
     json_checker store(*object, from.path_of("store"), problems);
-    const auto address = store.address("address");
+    const auto address = store.address("endpoint");
     if (out.store_addresses.empty())
     {
         out.store_addresses = {address};
--- a/modules/io/operator/operator_options.hpp
+++ b/modules/io/operator/operator_options.hpp
@@ -20,7 +20,7 @@
 //
 //     {
 //         "name": "anna",
-//         "store": {"address": "127.0.0.1:2379", "root": "/briardrum"},
+//         "store": {"endpoint": "127.0.0.1:2379", "root": "/briardrum"},
 //         "daemons": ["127.0.0.1:9101", "127.0.0.1:9102"]
 //     }
 struct operator_options
--- a/modules/wire/messages/control_message.hpp
+++ b/modules/wire/messages/control_message.hpp
@@ -1,7 +1,6 @@
 #ifndef BRIARDRUM_WIRE_MESSAGES_CONTROL_MESSAGE_HPP
 #define BRIARDRUM_WIRE_MESSAGES_CONTROL_MESSAGE_HPP
 
-#include "config/model/configuration_change.hpp"
 #include "config/model/configuration_change.hpp"
 #include "wire/messages/flow_record.hpp"
 #include "wire/messages/member_record.hpp"
