--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -8,7 +8,11 @@
     CLI::App app{"Measures briardrum on this machine."};
     app.set_version_flag("--version", BRIARDRUM_VERSION);
     app.require_subcommand(1);
-    const std::vector<measure> measures = {};
+    const std::vector<measure> measures = {
+        briardrum::bench::add_soak(app),
+        briardrum::bench::add_imbalance(app),
+        briardrum::bench::add_requests(app),
+    };
     CLI11_PARSE(app, argc, argv);
     for (const auto& item : measures)
     {
--- a/tests/unit/requests_engine_test.cpp
+++ b/tests/unit/requests_engine_test.cpp
@@ -288,3 +288,26 @@
     f.advance(minutes(4));
     CHECK(f.engine.in_progress() == 0);
 }
+
+TEST_CASE("a request that expired between ticks is not dispatched")
+{
+    requests_fixture f;
+    f.occupy();
+    f.arrive(1, 1, false, milliseconds(500));
+    f.now += milliseconds(600);
+    f.answer(f.dispatches[0].token);
+    CHECK(f.dispatches.size() == f.slots);
+    REQUIRE(f.refusals.size() == 1);
+    CHECK(f.refusals[0].kind == error_kind::deadline_too_short);
+}
+
+TEST_CASE("what is handed over is kept no longer than where it came from")
+{
+    requests_fixture f;
+    f.arrive(1, 1, false);
+    f.answer_last();
+    f.advance(seconds(200));
+    const auto records = f.engine.take(f.now, f.id_of(1, 1).flow);
+    REQUIRE(records.size() == 1);
+    CHECK(records[0].remaining == seconds(47));
+}
--- a/tests/unit/requests_limits_test.cpp
+++ b/tests/unit/requests_limits_test.cpp
@@ -236,3 +236,32 @@
     f.advance(seconds(248));
     CHECK(f.arrive(1, 999, false) == arrival_result::accepted);
 }
+
+TEST_CASE("a server that does not answer in time lowers its limit")
+{
+    concurrency_limit limit;
+    limit.set_slots(8);
+    millis now;
+    for (int n = 0; n < 20; ++n)
+    {
+        limit.on_answered(now, milliseconds(10), limit.value());
+    }
+    now += seconds(10);
+    limit.on_timed_out(now, seconds(10));
+    CHECK(limit.value() == 5);
+    CHECK(limit.latency().recent() > 100);
+}
+
+TEST_CASE("datagrams that wait take bounded memory")
+{
+    request_bounds bounds;
+    // The fixture's datagrams have 3 bytes.
+    bounds.queue_bytes = (requests_fixture::slots + 2) * std::size_t{3};
+    requests_fixture f(bounds);
+    f.occupy();
+    CHECK(f.arrive(1, 1, false) == arrival_result::accepted);
+    CHECK(f.arrive(2, 2, false) == arrival_result::accepted);
+    CHECK(f.arrive(3, 3, false) == arrival_result::refused);
+    REQUIRE(f.refusals.size() == 1);
+    CHECK(f.refusals[0].kind == error_kind::overloaded);
+}
