--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -10,6 +10,8 @@
     app.require_subcommand(1);
     const std::vector<measure> measures = {
         briardrum::bench::add_soak(app),
+        briardrum::bench::add_imbalance(app),
+        briardrum::bench::add_requests(app),
     };
     CLI11_PARSE(app, argc, argv);
     for (const auto& item : measures)
