--- a/bench/forward_bench.cpp
+++ b/bench/forward_bench.cpp
@@ -210,9 +210,9 @@
             send(to, it);
         };
         hooks.send_to_caller = [](const caller_packet&) {};
-        core_ = std::make_unique<balancer_core>(
-            self, std::vector<endpoint>{}, membership_settings{},
-            std::move(hooks), 1);
+        core_ = std::make_unique<balancer_core>(self, std::vector<endpoint>{},
+                                                membership_settings{},
+                                                std::move(hooks), 1);
         core_->adopt(now, make_configuration());
         add_servers();
     }
@@ -243,8 +243,7 @@
             n = way.received.receive(way.in.descriptor());
             for (std::size_t i = 0; i < n; ++i)
             {
-                const auto packet =
-                    read_proxy_header(way.received.datagram(i));
+                const auto packet = read_proxy_header(way.received.datagram(i));
                 core_->on_packet(now, {packet->caller, packet->service_address,
                                        packet->datagram});
             }
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -11,6 +11,8 @@
     const std::vector<measure> measures = {
         briardrum::bench::add_soak(app),
         briardrum::bench::add_forward(app),
+        briardrum::bench::add_flood(app),
+        briardrum::bench::add_gossip(app),
     };
     CLI11_PARSE(app, argc, argv);
     for (const auto& item : measures)
--- a/bench/measures.hpp
+++ b/bench/measures.hpp
@@ -19,6 +19,8 @@
 // Each is defined in the file named after it; main() lists them all.
 auto add_soak(CLI::App& app) -> measure;
 auto add_forward(CLI::App& app) -> measure;
+auto add_flood(CLI::App& app) -> measure;
+auto add_gossip(CLI::App& app) -> measure;
 
 } // namespace briardrum::bench
 
--- a/bench/rig/rig.cpp
+++ b/bench/rig/rig.cpp
@@ -1,6 +1,7 @@
 #include "bench/rig/rig.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <utility>
 
 namespace briardrum::rig
@@ -12,6 +13,8 @@
 constexpr millis agent_tick = milliseconds(20);
 constexpr millis balancer_tick = milliseconds(100);
 constexpr std::size_t balancer_budget = 100000;
+// Packets in a balancer's first in first out queue.
+constexpr std::size_t fifo_packets_max = 8192;
 // Messages that wait at a paused node, as in a socket's buffer.
 constexpr std::size_t pause_buffer_max = 2000;
 
@@ -44,6 +47,14 @@
     bool server_alive = false;
     std::unique_ptr<agent_core> agent;
     std::unique_ptr<balancer_core> balancer;
+    // Packets that wait in first in first out order, when that is asked for.
+    struct fifo_packet
+    {
+        endpoint caller;
+        endpoint service_address;
+        byte_buffer datagram;
+    };
+    std::deque<fifo_packet> fifo;
     fake_server* server = nullptr;
 };
 
@@ -72,6 +83,9 @@
     std::map<std::string, caller_totals> totals;
     std::vector<std::string>* events = nullptr;
     bool baseline = false;
+    // 0 when balancers are not limited.
+    std::size_t packets_per_ms = 0;
+    bool fifo = false;
 };
 
 rig::rig(std::uint64_t seed) : state_(std::make_unique<state>(seed))
@@ -647,14 +661,69 @@
             deliver(*chosen, life,
                     [this, chosen, caller, service_address, copy]
                     {
-                        const auto now = state_->queue.now();
-                        chosen->balancer->on_packet(
-                            now, {caller, service_address, *copy});
-                        chosen->balancer->serve(now, balancer_budget);
+                        on_packet(*chosen, {caller, service_address, *copy});
                     });
         });
 }
 
+auto rig::on_packet(node& item, const caller_packet& packet) -> void
+{
+    const auto now = state_->queue.now();
+    if (state_->fifo)
+    {
+        if (item.fifo.size() < fifo_packets_max)
+        {
+            item.fifo.push_back({packet.caller, packet.service_address,
+                                 to_buffer(packet.datagram)});
+        }
+        return;
+    }
+    item.balancer->on_packet(now, packet);
+    if (state_->packets_per_ms == 0)
+    {
+        item.balancer->serve(now, balancer_budget);
+    }
+}
+
+auto rig::inject(const endpoint& caller, const std::string& service,
+                 byte_view datagram) -> void
+{
+    to_balancer(caller, state_->config->find(service)->address, datagram);
+}
+
+auto rig::limit_balancers(std::size_t packets_per_ms, bool first_in_first_out)
+    -> void
+{
+    state_->packets_per_ms = packets_per_ms;
+    state_->fifo = first_in_first_out;
+    pump_balancers();
+}
+
+auto rig::pump_balancers() -> void
+{
+    const auto now = state_->queue.now();
+    for (const auto& it : state_->nodes)
+    {
+        if (it->balancer == nullptr || !it->alive || now < it->paused_until)
+        {
+            continue;
+        }
+        for (auto n = state_->packets_per_ms; n > 0 && !it->fifo.empty(); --n)
+        {
+            const auto& packet = it->fifo.front();
+            it->balancer->on_packet(
+                now, {packet.caller, packet.service_address, packet.datagram});
+            it->fifo.pop_front();
+        }
+        it->balancer->serve(now, state_->packets_per_ms);
+    }
+    state_->queue.after(milliseconds(1),
+                        [this]
+                        {
+                            pump_balancers();
+                        });
+}
+
 auto rig::to_caller(const caller_packet& packet) -> void
 {
     const auto it = state_->caller_at.find(packet.caller);
@@ -692,7 +761,10 @@
     else
     {
         item.balancer->tick(now);
-        item.balancer->serve(now, balancer_budget);
+        if (state_->packets_per_ms == 0)
+        {
+            item.balancer->serve(now, balancer_budget);
+        }
     }
     state_->queue.after(is_agent ? agent_tick : balancer_tick,
                         [this, &item, life]
--- a/bench/rig/rig.hpp
+++ b/bench/rig/rig.hpp
@@ -78,6 +78,14 @@
     // The server of an agent dies, or is there again.
     auto kill_server(const std::string& agent) -> void;
     auto restart_server(const std::string& agent) -> void;
+    // A datagram of a caller that waits for no answer.
+    auto inject(const endpoint& caller, const std::string& service,
+                byte_view datagram) -> void;
+    // Each balancer forwards so many packets of callers per millisecond at
+    // most. As first in first out, its queue knows no services and drops what
+    // comes when it is full, as a socket's buffer does.
+    auto limit_balancers(std::size_t packets_per_ms, bool first_in_first_out)
+        -> void;
     // Only rendezvous in the balancers decides; agents keep what they get.
     auto use_baseline() -> void;
 
@@ -124,6 +132,8 @@
         -> void;
     auto to_balancer(const endpoint& caller, const endpoint& service_address,
                      byte_view datagram) -> void;
+    auto on_packet(node& item, const caller_packet& packet) -> void;
+    auto pump_balancers() -> void;
     auto to_caller(const caller_packet& packet) -> void;
     auto tick(node& item, std::uint64_t life) -> void;
 
