--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -9,9 +9,12 @@
     app.set_version_flag("--version", BRIARDRUM_VERSION);
     app.require_subcommand(1);
     const std::vector<measure> measures = {
+        briardrum::bench::add_broken(app),
         briardrum::bench::add_soak(app),
         briardrum::bench::add_imbalance(app),
         briardrum::bench::add_requests(app),
+        briardrum::bench::add_forward(app), briardrum::bench::add_flood(app),
+        briardrum::bench::add_gossip(app),
     };
     CLI11_PARSE(app, argc, argv);
     for (const auto& item : measures)
--- a/bench/measures.hpp
+++ b/bench/measures.hpp
@@ -17,9 +17,13 @@
 };
 
 // Each is defined in the file named after it; main() lists them all.
+auto add_broken(CLI::App& app) -> measure;
 auto add_soak(CLI::App& app) -> measure;
 auto add_imbalance(CLI::App& app) -> measure;
 auto add_requests(CLI::App& app) -> measure;
+auto add_forward(CLI::App& app) -> measure;
+auto add_flood(CLI::App& app) -> measure;
+auto add_gossip(CLI::App& app) -> measure;
 
 } // namespace briardrum::bench
 
--- a/bench/rig/rig.cpp
+++ b/bench/rig/rig.cpp
@@ -1,6 +1,7 @@
 #include "bench/rig/rig.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <utility>
 
 namespace briardrum::rig
@@ -12,6 +13,8 @@
 constexpr millis agent_tick = milliseconds(20);
 constexpr millis balancer_tick = milliseconds(100);
 constexpr std::size_t balancer_budget = 100000;
+// Packets in a balancer's first in first out queue.
+constexpr std::size_t fifo_packets_max = 8192;
 // Messages that wait at a paused node, as in a socket's buffer.
 constexpr std::size_t pause_buffer_max = 2000;
 
@@ -44,6 +47,14 @@
     bool server_alive = false;
     std::unique_ptr<agent_core> agent;
     std::unique_ptr<balancer_core> balancer;
+    // Packets that wait in first in first out order, when that is asked for.
+    struct fifo_packet
+    {
+        endpoint caller;
+        endpoint service_address;
+        byte_buffer datagram;
+    };
+    std::deque<fifo_packet> fifo;
     fake_server* server = nullptr;
 };
 
@@ -62,6 +73,7 @@
     std::vector<std::unique_ptr<node>> nodes;
     std::map<endpoint, node*> by_address;
     std::set<std::pair<std::string, std::string>> cuts;
+    std::set<std::pair<std::string, std::string>> control_cuts;
     // Servers of every life: what each ran counts to the end.
     std::vector<std::unique_ptr<fake_server>> servers;
     // Cores of earlier lives, kept since queued actions may name them.
@@ -72,6 +84,9 @@
     std::map<std::string, caller_totals> totals;
     std::vector<std::string>* events = nullptr;
     bool baseline = false;
+    // 0 when balancers are not limited.
+    std::size_t packets_per_ms = 0;
+    bool fifo = false;
 };
 
 rig::rig(std::uint64_t seed) : state_(std::make_unique<state>(seed))
@@ -216,7 +231,13 @@
 
 auto rig::drain(const std::string& name) -> void
 {
-    find(name).agent->drain(state_->queue.now());
+    const auto now = state_->queue.now();
+    if (state_->baseline)
+    {
+        find(name).agent->members().set_state(now, member_state::draining);
+        return;
+    }
+    find(name).agent->drain(now);
 }
 
 auto rig::leave(const std::string& name) -> void
@@ -229,9 +250,15 @@
     state_->cuts.emplace(from, to);
 }
 
+auto rig::cut_control(const std::string& from, const std::string& to) -> void
+{
+    state_->control_cuts.emplace(from, to);
+}
+
 auto rig::heal() -> void
 {
     state_->cuts.clear();
+    state_->control_cuts.clear();
 }
 
 auto rig::delay_control(const std::string& name, millis up_to) -> void
@@ -530,9 +557,11 @@
     }
     auto copy = std::make_shared<byte_buffer>(to_buffer(message.datagram));
     auto sent = message;
-    if (state_->baseline && sent.kind == envelope_kind::request)
+    if (state_->baseline)
     {
-        sent.placed = true;
+        // Agents keep what they get, and balancers learn nothing.
+        sent.placed = sent.kind == envelope_kind::request;
+        sent.from_agent = 0;
     }
     const auto twice = state_->random.chance(state_->network.duplication);
     for (int n = 0; n < (twice ? 2 : 1); ++n)
@@ -565,8 +594,10 @@
                        const control_message& message) -> void
 {
     auto* receiver = at_address(to);
-    const auto lost = receiver == nullptr || !passes(from, *receiver) ||
-                      state_->random.chance(state_->network.control_loss);
+    const auto lost =
+        receiver == nullptr || !passes(from, *receiver) ||
+        state_->control_cuts.contains({from.name, receiver->name}) ||
+        state_->random.chance(state_->network.control_loss);
     if (lost)
     {
         return;
@@ -647,14 +678,69 @@
             deliver(*chosen, life,
                     [this, chosen, caller, service_address, copy]
                     {
-                        const auto now = state_->queue.now();
-                        chosen->balancer->on_packet(
-                            now, {caller, service_address, *copy});
-                        chosen->balancer->serve(now, balancer_budget);
+                        on_packet(*chosen, {caller, service_address, *copy});
                     });
         });
 }
 
+auto rig::on_packet(node& item, const caller_packet& packet) -> void
+{
+    const auto now = state_->queue.now();
+    if (state_->fifo)
+    {
+        if (item.fifo.size() < fifo_packets_max)
+        {
+            item.fifo.push_back({packet.caller, packet.service_address,
+                                 to_buffer(packet.datagram)});
+        }
+        return;
+    }
+    item.balancer->on_packet(now, packet);
+    if (state_->packets_per_ms == 0)
+    {
+        item.balancer->serve(now, balancer_budget);
+    }
+}
+
+auto rig::inject(const endpoint& caller, const std::string& service,
+                 byte_view datagram) -> void
+{
+    to_balancer(caller, state_->config->find(service)->address, datagram);
+}
+
+auto rig::limit_balancers(std::size_t packets_per_ms, bool first_in_first_out)
+    -> void
+{
+    state_->packets_per_ms = packets_per_ms;
+    state_->fifo = first_in_first_out;
+    pump_balancers();
+}
+
+auto rig::pump_balancers() -> void
+{
+    const auto now = state_->queue.now();
+    for (const auto& it : state_->nodes)
+    {
+        if (it->balancer == nullptr || !it->alive || now < it->paused_until)
+        {
+            continue;
+        }
+        for (auto n = state_->packets_per_ms; n > 0 && !it->fifo.empty(); --n)
+        {
+            const auto& packet = it->fifo.front();
+            it->balancer->on_packet(
+                now, {packet.caller, packet.service_address, packet.datagram});
+            it->fifo.pop_front();
+        }
+        it->balancer->serve(now, state_->packets_per_ms);
+    }
+    state_->queue.after(milliseconds(1),
+                        [this]
+                        {
+                            pump_balancers();
+                        });
+}
+
 auto rig::to_caller(const caller_packet& packet) -> void
 {
     const auto it = state_->caller_at.find(packet.caller);
@@ -692,7 +778,10 @@
     else
     {
         item.balancer->tick(now);
-        item.balancer->serve(now, balancer_budget);
+        if (state_->packets_per_ms == 0)
+        {
+            item.balancer->serve(now, balancer_budget);
+        }
     }
     state_->queue.after(is_agent ? agent_tick : balancer_tick,
                         [this, &item, life]
