--- a/modules/core/time/millis.hpp
+++ b/modules/core/time/millis.hpp
@@ -14,7 +14,7 @@
 {
     std::int64_t count = 0;
 
-    // clang-tidy 14 takes a comparison rewritten by this for a null pointer.
+    // clang-tidy 14 takes the zero of a defaulted comparison for a pointer.
     // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const millis&) const = default;
 
