--- a/modules/membership/membership_settings.hpp
+++ b/modules/membership/membership_settings.hpp
@@ -13,7 +13,7 @@
 {
     millis gossip_interval = milliseconds(200);
     millis probe_interval = milliseconds(500);
-    millis probe_timeout = milliseconds(300);
+    millis probe_timeout = milliseconds(200);
     // How long a suspect may refute before it counts as dead.
     millis suspicion_timeout = seconds(2);
     // How long a dead or departed member's record is kept, so that an old
