--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,8 +1,16 @@
 # Sourced by ./run after the build: every test, one closing line.
 passed=0
 failed=0
+known_red=0
 
-# run_check NAME COMMAND...: one check; its output is shown when it fails.
+# True when KNOWN-RED.txt has an entry "NAME | ..." of exactly this name.
+is_known_red() {
+    awk -F ' [|] ' -v name="$1" '$1 == name { found = 1 }
+        END { exit !found }' KNOWN-RED.txt
+}
+
+# run_check NAME COMMAND...: one check; its output is shown when it fails. A
+# failure that is listed as known red does not fail the whole.
 run_check() {
     local name=$1 log
     shift
@@ -10,6 +18,10 @@
     if "$@" >"$log" 2>&1; then
         passed=$((passed + 1))
         echo "pass  $name"
+    elif is_known_red "$name"; then
+        known_red=$((known_red + 1))
+        echo "known red  $name"
+        tail -n 5 "$log"
     else
         failed=$((failed + 1))
         echo "FAIL  $name"
@@ -39,7 +51,7 @@
     [ -e "$part" ] && . "$part"
 done
 if grep -q '^[^#]' KNOWN-RED.txt 2>/dev/null; then
-    echo "known red:"
+    echo "known red, $known_red seen in this run:"
     grep '^[^#]' KNOWN-RED.txt
 fi
 echo "$passed passed, $failed failed"
