--- a/scripts/checks/whole_path.sh
+++ b/scripts/checks/whole_path.sh
@@ -1,6 +1,6 @@
 # Sourced by scripts/test.sh: requests of every kind go the whole path, from
 # caller through fabric, balancer and agent to the backend server and back,
-# all in processes of their own; then one balancer is replaced under load.
+# all in processes of their own.
 . scripts/lib/deployment.sh
 
 whole_path_ports=$((23000 + $$ % 40 * 200))
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -247,8 +247,8 @@
 stop_deployment() {
     local pid
     for pid in "${deployment_pids[@]}"; do
-        kill -9 "$pid" 2>/dev/null
-        wait "$pid" 2>/dev/null
+        kill -9 "$pid" 2>/dev/null || true
+        wait "$pid" 2>/dev/null || true
     done
     deployment_pids=()
     [ -n "${KEEP_LOGS:-}" ] || rm -rf "$work"
