--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -9,6 +9,7 @@
     app.set_version_flag("--version", BRIARDRUM_VERSION);
     app.require_subcommand(1);
     const std::vector<measure> measures = {
+        briardrum::bench::add_control(app),
         briardrum::bench::add_soak(app),
         briardrum::bench::add_imbalance(app),
         briardrum::bench::add_requests(app),
--- a/bench/measures.hpp
+++ b/bench/measures.hpp
@@ -17,6 +17,7 @@
 };
 
 // Each is defined in the file named after it; main() lists them all.
+auto add_control(CLI::App& app) -> measure;
 auto add_soak(CLI::App& app) -> measure;
 auto add_imbalance(CLI::App& app) -> measure;
 auto add_requests(CLI::App& app) -> measure;
--- a/modules/io/operator/operator_options.cpp
+++ b/modules/io/operator/operator_options.cpp
@@ -3,8 +3,6 @@
 #include "config/config.hpp"
 #include "config/settings/process_settings.hpp"
 
-#include <CLI/CLI.hpp>
-
 namespace briardrum
 {
 
--- a/modules/io/operator/operator_options.hpp
+++ b/modules/io/operator/operator_options.hpp
@@ -4,14 +4,10 @@
 #include "core/core.hpp"
 
 #include <absl/status/status.h>
+#include <CLI/CLI.hpp>
 #include <string>
 #include <vector>
 
-namespace CLI
-{
-class App;
-}
-
 namespace briardrum
 {
 
--- a/modules/io/operator/run_operator.cpp
+++ b/modules/io/operator/run_operator.cpp
@@ -29,7 +29,7 @@
 auto run(operator_options& options, const command_list& commands)
     -> absl::Status
 {
-    const auto status = finish_operator_options(options);
+    auto status = finish_operator_options(options);
     if (!status.ok())
     {
         return status;
--- a/modules/io/operator/service_commands.cpp
+++ b/modules/io/operator/service_commands.cpp
@@ -84,7 +84,10 @@
     print_line("service " + item.name);
     for (const auto& [name, value] : fields_of(item))
     {
-        print_line("  " + name + ": " + value);
+        auto line = "  " + name;
+        line += ": ";
+        line += value;
+        print_line(line);
     }
 }
 
--- a/modules/node/agent/redirect_announcer.cpp
+++ b/modules/node/agent/redirect_announcer.cpp
@@ -181,8 +181,7 @@
 auto redirect_announcer::must_hear(member_id peer) const -> bool
 {
     const auto* record = context_.members.find(peer);
-    const auto gone =
-        record != nullptr && record->state >= member_state::left;
+    const auto gone = record != nullptr && record->state >= member_state::left;
     return peer != context_.members.self().id && !gone &&
            !heard_.contains(peer);
 }
--- a/stand_ins/store/memory_store.cpp
+++ b/stand_ins/store/memory_store.cpp
@@ -93,6 +93,11 @@
 
 auto memory_store::expire(millis now) -> void
 {
+    constexpr lease_id first_lease = 1;
+    if (next_lease_ == first_lease)
+    {
+        return;
+    }
     std::vector<std::string> lapsed;
     for (const auto& [key, item] : entries_)
     {
--- a/tests/support/fake_store.cpp
+++ b/stand_ins/store/virtual_store.cpp
@@ -1,18 +1,18 @@
-#include "tests/support/fake_store.hpp"
+#include "stand_ins/store/virtual_store.hpp"
 
 #include <utility>
 
-namespace briardrum::tests
+namespace briardrum::stand_in
 {
 
-fake_store::fake_store(stand_in::memory_store& data) : data_(data) {}
+virtual_store::virtual_store(memory_store& data) : data_(data) {}
 
-auto fake_store::later(millis after, std::function<void()> task) -> void
+auto virtual_store::later(millis after, std::function<void()> task) -> void
 {
     tasks_.emplace(now_ + after, std::move(task));
 }
 
-auto fake_store::run(millis now) -> void
+auto virtual_store::run(millis now) -> void
 {
     now_ = now;
     data_.expire(now);
@@ -26,8 +26,8 @@
 }
 
 template <typename Result>
-auto fake_store::call(const std::function<Result()>& carry_out,
-                      store_callback<Result> done) -> void
+auto virtual_store::call(const std::function<Result()>& carry_out,
+                         store_callback<Result> done) -> void
 {
     ++calls;
     if (down)
@@ -61,8 +61,8 @@
           });
 }
 
-auto fake_store::range(const store_range& request,
-                       store_callback<store_range_result> done) -> void
+auto virtual_store::range(const store_range& request,
+                          store_callback<store_range_result> done) -> void
 {
     ++ranges;
     call<store_range_result>(
@@ -73,8 +73,8 @@
         std::move(done));
 }
 
-auto fake_store::commit(const store_transaction& request,
-                        store_callback<store_commit_result> done) -> void
+auto virtual_store::commit(const store_transaction& request,
+                           store_callback<store_commit_result> done) -> void
 {
     if (!down && (lose_answers > 0 || lose_commits > 0))
     {
@@ -103,7 +103,7 @@
         std::move(done));
 }
 
-auto fake_store::grant_lease(millis span, store_callback<store_lease> done)
+auto virtual_store::grant_lease(millis span, store_callback<store_lease> done)
     -> void
 {
     call<store_lease>(
@@ -114,7 +114,7 @@
         std::move(done));
 }
 
-auto fake_store::keep_alive(lease_id id, store_callback<store_lease> done)
+auto virtual_store::keep_alive(lease_id id, store_callback<store_lease> done)
     -> void
 {
     call<store_lease>(
@@ -125,8 +125,8 @@
         std::move(done));
 }
 
-auto fake_store::watch(const store_watch& request,
-                       store_callback<store_watch_batch> next) -> watch_id
+auto virtual_store::watch(const store_watch& request,
+                          store_callback<store_watch_batch> next) -> watch_id
 {
     ++calls;
     const auto id = ++last_watch_;
@@ -143,12 +143,12 @@
     return id;
 }
 
-auto fake_store::cancel_watch(watch_id id) -> void
+auto virtual_store::cancel_watch(watch_id id) -> void
 {
     watches_.erase(id);
 }
 
-auto fake_store::tell_events() -> void
+auto virtual_store::tell_events() -> void
 {
     for (auto& [id, item] : watches_)
     {
@@ -194,4 +194,4 @@
     }
 }
 
-} // namespace briardrum::tests
+} // namespace briardrum::stand_in
--- a/tests/support/fake_store.hpp
+++ b/stand_ins/store/virtual_store.hpp
@@ -1,5 +1,5 @@
-#ifndef BRIARDRUM_TESTS_SUPPORT_FAKE_STORE_HPP
-#define BRIARDRUM_TESTS_SUPPORT_FAKE_STORE_HPP
+#ifndef BRIARDRUM_STAND_INS_STORE_VIRTUAL_STORE_HPP
+#define BRIARDRUM_STAND_INS_STORE_VIRTUAL_STORE_HPP
 
 #include "node/store/store.hpp"
 #include "stand_ins/store/memory_store.hpp"
@@ -7,15 +7,15 @@
 #include <functional>
 #include <map>
 
-namespace briardrum::tests
+namespace briardrum::stand_in
 {
 
 // One process's way to a store, on virtual time, with the faults that the
 // way and the store may have. Several may share one memory_store.
-class fake_store : public store
+class virtual_store : public store
 {
 public:
-    explicit fake_store(stand_in::memory_store& data);
+    explicit virtual_store(memory_store& data);
 
     bool down = false;
     bool silent_watches = false;
@@ -60,13 +60,13 @@
     auto later(millis after, std::function<void()> task) -> void;
     auto tell_events() -> void;
 
-    stand_in::memory_store& data_;
+    memory_store& data_;
     millis now_;
     std::multimap<millis, std::function<void()>> tasks_;
     std::map<watch_id, open_watch> watches_;
     watch_id last_watch_ = 0;
 };
 
-} // namespace briardrum::tests
+} // namespace briardrum::stand_in
 
 #endif
--- a/tests/support/control_samples.cpp
+++ b/tests/support/control_samples.cpp
@@ -56,7 +56,8 @@
         gossip_message{{make_member(), make_member()}, true},
         probe_message{1, 2},
         probe_ack_message{3, 4},
-        redirects_message{5, {{key, 6, 7, 8}, {key, 9, 10, 11}}, true, {12, 13}},
+        redirects_message{
+            5, {{key, 6, 7, 8}, {key, 9, 10, 11}}, true, {12, 13}},
         hand_over_message{12, make_flow()},
         transfer_ack_message{13, false},
         configuration_message{
--- a/tests/unit/store_change_test.cpp
+++ b/tests/unit/store_change_test.cpp
@@ -1,11 +1,11 @@
 #include "node/store/change_committer.hpp"
 #include "node/store/configuration_load.hpp"
-#include "tests/support/fake_store.hpp"
+#include "stand_ins/store/virtual_store.hpp"
 
 #include <doctest/doctest.h>
 
 using namespace briardrum;
-using briardrum::tests::fake_store;
+using briardrum::stand_in::virtual_store;
 
 namespace
 {
@@ -20,7 +20,7 @@
 
     auto stored() -> loaded_configuration
     {
-        fake_store way(data);
+        virtual_store way(data);
         loaded_configuration out;
         load_configuration(way, {},
                            [&](const auto& loaded)
@@ -42,7 +42,7 @@
 struct command
 {
     operators& world;
-    fake_store way;
+    virtual_store way;
     change_committer committer;
     edited_configuration edited;
 
@@ -98,7 +98,7 @@
 
 auto look_up(operators& world, const std::string& change_id) -> change_status
 {
-    fake_store way(world.data);
+    virtual_store way(world.data);
     change_status out;
     look_up_change(way, {}, change_id,
                    [&](const auto& result)
--- a/tests/unit/store_lease_test.cpp
+++ b/tests/unit/store_lease_test.cpp
@@ -1,11 +1,11 @@
 #include "node/store/lease_holder.hpp"
-#include "tests/support/fake_store.hpp"
+#include "stand_ins/store/virtual_store.hpp"
 
 #include <doctest/doctest.h>
 #include <optional>
 
 using namespace briardrum;
-using briardrum::tests::fake_store;
+using briardrum::stand_in::virtual_store;
 
 namespace
 {
@@ -16,7 +16,7 @@
 // One process that wants to be the writer of the day's totals.
 struct writer
 {
-    fake_store way;
+    virtual_store way;
     lease_holder holder;
     bool paused = false;
 
--- a/tests/unit/store_watcher_test.cpp
+++ b/tests/unit/store_watcher_test.cpp
@@ -1,10 +1,10 @@
 #include "node/store/store_watcher.hpp"
-#include "tests/support/fake_store.hpp"
+#include "stand_ins/store/virtual_store.hpp"
 
 #include <doctest/doctest.h>
 
 using namespace briardrum;
-using briardrum::tests::fake_store;
+using briardrum::stand_in::virtual_store;
 
 namespace
 {
@@ -16,7 +16,7 @@
 struct watched_store
 {
     stand_in::memory_store data;
-    fake_store way{data};
+    virtual_store way{data};
     std::shared_ptr<const configuration> held;
     std::uint64_t adopted = 0;
     store_watcher watcher;
