--- a/bench/rig/rig.hpp
+++ b/bench/rig/rig.hpp
@@ -72,12 +72,22 @@
     auto leave(const std::string& name) -> void;
     // Nothing passes from one node to the other, one way.
     auto cut(const std::string& from, const std::string& to) -> void;
+    // The same for control messages only: datagrams still pass.
+    auto cut_control(const std::string& from, const std::string& to) -> void;
     auto heal() -> void;
     // Control messages to this node take up to this long.
     auto delay_control(const std::string& name, millis up_to) -> void;
     // The server of an agent dies, or is there again.
     auto kill_server(const std::string& agent) -> void;
     auto restart_server(const std::string& agent) -> void;
+    // A datagram of a caller that waits for no answer.
+    auto inject(const endpoint& caller, const std::string& service,
+                byte_view datagram) -> void;
+    // Each balancer forwards so many packets of callers per millisecond at
+    // most. As first in first out, its queue knows no services and drops what
+    // comes when it is full, as a socket's buffer does.
+    auto limit_balancers(std::size_t packets_per_ms, bool first_in_first_out)
+        -> void;
     // Only rendezvous in the balancers decides; agents keep what they get.
     auto use_baseline() -> void;
 
@@ -124,6 +134,8 @@
         -> void;
     auto to_balancer(const endpoint& caller, const endpoint& service_address,
                      byte_view datagram) -> void;
+    auto on_packet(node& item, const caller_packet& packet) -> void;
+    auto pump_balancers() -> void;
     auto to_caller(const caller_packet& packet) -> void;
     auto tick(node& item, std::uint64_t life) -> void;
 
