--- a/bench/rig/rig.cpp
+++ b/bench/rig/rig.cpp
@@ -73,6 +73,7 @@
     std::vector<std::unique_ptr<node>> nodes;
     std::map<endpoint, node*> by_address;
     std::set<std::pair<std::string, std::string>> cuts;
+    std::set<std::pair<std::string, std::string>> control_cuts;
     // Servers of every life: what each ran counts to the end.
     std::vector<std::unique_ptr<fake_server>> servers;
     // Cores of earlier lives, kept since queued actions may name them.
@@ -230,7 +231,13 @@
 
 auto rig::drain(const std::string& name) -> void
 {
-    find(name).agent->drain(state_->queue.now());
+    const auto now = state_->queue.now();
+    if (state_->baseline)
+    {
+        find(name).agent->members().set_state(now, member_state::draining);
+        return;
+    }
+    find(name).agent->drain(now);
 }
 
 auto rig::leave(const std::string& name) -> void
@@ -243,9 +250,15 @@
     state_->cuts.emplace(from, to);
 }
 
+auto rig::cut_control(const std::string& from, const std::string& to) -> void
+{
+    state_->control_cuts.emplace(from, to);
+}
+
 auto rig::heal() -> void
 {
     state_->cuts.clear();
+    state_->control_cuts.clear();
 }
 
 auto rig::delay_control(const std::string& name, millis up_to) -> void
@@ -544,9 +557,11 @@
     }
     auto copy = std::make_shared<byte_buffer>(to_buffer(message.datagram));
     auto sent = message;
-    if (state_->baseline && sent.kind == envelope_kind::request)
+    if (state_->baseline)
     {
-        sent.placed = true;
+        // Agents keep what they get, and balancers learn nothing.
+        sent.placed = sent.kind == envelope_kind::request;
+        sent.from_agent = 0;
     }
     const auto twice = state_->random.chance(state_->network.duplication);
     for (int n = 0; n < (twice ? 2 : 1); ++n)
@@ -579,8 +594,10 @@
                        const control_message& message) -> void
 {
     auto* receiver = at_address(to);
-    const auto lost = receiver == nullptr || !passes(from, *receiver) ||
-                      state_->random.chance(state_->network.control_loss);
+    const auto lost =
+        receiver == nullptr || !passes(from, *receiver) ||
+        state_->control_cuts.contains({from.name, receiver->name}) ||
+        state_->random.chance(state_->network.control_loss);
     if (lost)
     {
         return;
--- a/bench/rig/rig.hpp
+++ b/bench/rig/rig.hpp
@@ -72,6 +72,8 @@
     auto leave(const std::string& name) -> void;
     // Nothing passes from one node to the other, one way.
     auto cut(const std::string& from, const std::string& to) -> void;
+    // The same for control messages only: datagrams still pass.
+    auto cut_control(const std::string& from, const std::string& to) -> void;
     auto heal() -> void;
     // Control messages to this node take up to this long.
     auto delay_control(const std::string& name, millis up_to) -> void;
--- a/modules/core/net/endpoint.hpp
+++ b/modules/core/net/endpoint.hpp
@@ -18,7 +18,7 @@
     std::uint32_t address = 0;
     std::uint16_t port = 0;
 
-    // clang-tidy 14 takes the zero of a defaulted comparison for a pointer.
+    // clang-tidy 14 takes a comparison rewritten by this for a null pointer.
     // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const endpoint&) const = default;
 
