--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -12,6 +12,7 @@
         briardrum::bench::add_soak(app),
         briardrum::bench::add_imbalance(app),
         briardrum::bench::add_requests(app),
+        briardrum::bench::add_forward(app),
     };
     CLI11_PARSE(app, argc, argv);
     for (const auto& item : measures)
--- a/bench/measures.hpp
+++ b/bench/measures.hpp
@@ -20,6 +20,7 @@
 auto add_soak(CLI::App& app) -> measure;
 auto add_imbalance(CLI::App& app) -> measure;
 auto add_requests(CLI::App& app) -> measure;
+auto add_forward(CLI::App& app) -> measure;
 
 } // namespace briardrum::bench
 
