--- a/bench/imbalance_bench.cpp
+++ b/bench/imbalance_bench.cpp
@@ -71,7 +71,7 @@
     -> std::vector<double>
 {
     const auto count = service.servers * options.connections;
-    const auto weights = caller_weights(count, what.heavy_tail, options.seed);
+    auto weights = caller_weights(count, what.heavy_tail, options.seed);
     const auto rate = offered_rate(service, what.load_percent);
     for (std::size_t n = 0; n < count; ++n)
     {
@@ -89,6 +89,7 @@
     -> std::vector<double>
 {
     std::vector<double> out;
+    out.reserve(agents.size());
     for (const auto& name : agents)
     {
         out.push_back(static_cast<double>(fleet.server(name).completed()));
@@ -111,7 +112,7 @@
 struct figure
 {
     double imbalance = 0;
-    // The odd server's work over the mean of the equal ones.
+    // The odd server's work over the mean of all.
     double odd = 1;
 };
 
--- a/bench/imbalance_model.cpp
+++ b/bench/imbalance_model.cpp
@@ -58,17 +58,25 @@
 auto split_odd(std::vector<double> work, bool first_is_odd) -> split_work
 {
     split_work out;
+    const auto mean_of = [](const std::vector<double>& all)
+    {
+        const auto sum = std::accumulate(all.begin(), all.end(), 0.0);
+        return sum / static_cast<double>(all.size());
+    };
     const auto odd = work.front();
+    const auto mean_of_all = mean_of(work);
     if (first_is_odd)
     {
         work.erase(work.begin());
     }
-    const auto sum = std::accumulate(work.begin(), work.end(), 0.0);
-    const auto mean = sum / static_cast<double>(work.size());
+    const auto mean = mean_of(work);
     if (mean > 0)
     {
         out.imbalance = *std::max_element(work.begin(), work.end()) / mean;
-        out.odd = odd / mean;
+    }
+    if (mean_of_all > 0)
+    {
+        out.odd = odd / mean_of_all;
     }
     return out;
 }
--- a/bench/imbalance_model.hpp
+++ b/bench/imbalance_model.hpp
@@ -28,7 +28,8 @@
 // The work that each server gets.
 auto place_by_report(const reported_model& model) -> std::vector<double>;
 
-// Busiest over mean of the equal servers, and the odd one over that mean.
+// Busiest over mean of the equal servers (0 when these got nothing), and the
+// odd one over the mean of all.
 struct split_work
 {
     double imbalance = 0;
--- a/modules/io/operator/report_command.cpp
+++ b/modules/io/operator/report_command.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr millis day_length = minutes(24 * 60);
+constexpr millis day_length = minutes(60) * 24;
 
 auto describe(const absl::Status& status) -> std::string
 {
--- a/modules/report/metrics/report_recorder.cpp
+++ b/modules/report/metrics/report_recorder.cpp
@@ -7,7 +7,7 @@
 {
 
 // A whole day, and the hour by which its page may be written late.
-constexpr millis keep_span = minutes(25 * 60);
+constexpr millis keep_span = minutes(60) * 25;
 
 } // namespace
 
--- a/modules/report/model/burn.cpp
+++ b/modules/report/model/burn.cpp
@@ -47,8 +47,8 @@
     {
         return burn_over(points, end, window, objective_ppm);
     };
-    return {over(minutes(5)), over(minutes(60)), over(minutes(6 * 60)),
-            over(minutes(24 * 60))};
+    return {over(minutes(5)), over(minutes(60)), over(minutes(60) * 6),
+            over(minutes(60) * 24)};
 }
 
 } // namespace briardrum
--- a/modules/report/page/burn_plot.cpp
+++ b/modules/report/page/burn_plot.cpp
@@ -91,7 +91,7 @@
         const auto* anchor = hour == 0    ? "start"
                              : hour == 24 ? "end"
                                           : "middle";
-        out += text(x, y, anchor, format_time(minutes(hour * 60), {}));
+        out += text(x, y, anchor, format_time(minutes(60) * hour, {}));
     }
     return out;
 }
--- a/tests/unit/report_command_test.cpp
+++ b/tests/unit/report_command_test.cpp
@@ -20,7 +20,7 @@
 class fake_daemon
 {
 public:
-    explicit fake_daemon(std::string body)
+    explicit fake_daemon(const std::string& body)
     {
         server_.Get("/report",
                     [body](const httplib::Request&, httplib::Response& answer)
--- a/tests/unit/report_test.cpp
+++ b/tests/unit/report_test.cpp
@@ -20,7 +20,7 @@
 
 auto day_until(millis now) -> report_day
 {
-    return {day_start, day_start + minutes(24 * 60), now};
+    return {day_start, day_start + minutes(60) * 24, now};
 }
 
 auto recorder_of(const std::string& name, millis from, incarnation life = 1)
