--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -14,7 +14,8 @@
         briardrum::bench::add_soak(app),
         briardrum::bench::add_imbalance(app),
         briardrum::bench::add_requests(app),
-        briardrum::bench::add_forward(app), briardrum::bench::add_flood(app),
+        briardrum::bench::add_forward(app),
+        briardrum::bench::add_flood(app),
         briardrum::bench::add_gossip(app),
     };
     CLI11_PARSE(app, argc, argv);
