Edited datagrams fit their envelopes; no cookie on block-wise answers

Agents went on answering through a balancer that leaves, so it never fell quiet. Ruled out: shrinking answers; a cookie on the last block only, as a caller has other answers to take it from. Conclusion: one limit for what travels inside, one for what comes from outside.

--- a/modules/node/agent/agent_context.cpp
+++ b/modules/node/agent/agent_context.cpp
@@ -114,17 +114,28 @@
 {
     const auto* row = flows.find(flow);
     const auto* last = row == nullptr ? nullptr : members.find(row->balancer);
-    if (last != nullptr && last->state < member_state::left)
+    const auto serves = [](const member_record* record)
+    {
+        return record != nullptr && record->state < member_state::left &&
+               record->state != member_state::draining;
+    };
+    if (serves(last))
     {
         return last;
     }
     const auto live = members.balancers();
-    if (live.empty())
+    const auto first = std::hash<flow_key>{}(flow);
+    for (std::size_t n = 0; n < live.size(); ++n)
     {
-        return nullptr;
+        const auto* other = members.find(live[(first + n) % live.size()]);
+        if (serves(other))
+        {
+            return other;
+        }
     }
-    const auto n = std::hash<flow_key>{}(flow) % live.size();
-    return members.find(live[n]);
+    // One that leaves still forwards; better through it than not at all.
+    return last != nullptr && last->state == member_state::draining ? last
+                                                                    : nullptr;
 }
 
 } // namespace briardrum
--- a/modules/node/agent/request_path.cpp
+++ b/modules/node/agent/request_path.cpp
@@ -415,7 +415,10 @@
     }
     register_stream(id, *view);
     notes_.erase(id);
-    const auto cookie = cookie_for(id.flow);
+    // libcoap's client loses the rest of a block-wise answer whose first
+    // block carries Echo: such answers go without a cookie.
+    const auto cookie =
+        view->block2.has_value() ? byte_buffer{} : cookie_for(id.flow);
     answer_extras extras;
     extras.cookie = cookie;
     if (view->observe.has_value())
--- a/modules/node/spread/configuration_spreader.hpp
+++ b/modules/node/spread/configuration_spreader.hpp
@@ -34,7 +34,7 @@
     // for long; one that is larger than the rest of it makes the next wait.
     std::uint32_t snapshot_bytes_per_second = 1'000'000;
     // Changes kept to bring others up to date without a snapshot.
-    std::size_t delta_bytes_max = 256 * 1024;
+    std::size_t delta_bytes_max = std::size_t{256} * 1024;
     // Between two looks at which members are the watchers.
     millis watcher_interval = milliseconds(500);
 };
--- a/modules/wire/codec/envelope_codec.cpp
+++ b/modules/wire/codec/envelope_codec.cpp
@@ -90,7 +90,7 @@
     {
         return make_error(error_kind::malformed, "envelope out of range");
     }
-    if (datagram.size() > coap_datagram_max)
+    if (datagram.size() > coap_datagram_max + coap_edit_growth_max)
     {
         return make_error(error_kind::oversize, "datagram too large");
     }
--- a/modules/wire/codec/envelope_codec.hpp
+++ b/modules/wire/codec/envelope_codec.hpp
@@ -14,7 +14,7 @@
 
 // Reads an envelope whose datagram points into the given bytes.
 // error_kind::wrong_version for another version of the schema,
-// error_kind::oversize for a datagram over coap_datagram_max,
+// error_kind::oversize for a datagram that no edit_coap() gives,
 // error_kind::malformed for anything else that is wrong.
 auto decode_envelope(byte_view bytes) -> absl::StatusOr<envelope>;
 
--- a/tests/unit/wire_coap_test.cpp
+++ b/tests/unit/wire_coap_test.cpp
@@ -240,6 +240,11 @@
           error_kind::invalid_argument);
     auto full = datagram;
     full.resize(coap_datagram_max, 'x');
+    const auto grown = edit_coap(full, edit);
+    REQUIRE(grown.ok());
+    CHECK(grown->size() > coap_datagram_max);
+    CHECK(grown->size() <= coap_datagram_max + coap_edit_growth_max);
+    full.push_back('x');
     CHECK(kind_of(edit_coap(full, edit).status()) == error_kind::oversize);
 }
 
