--- a/tests/unit/report_golden_test.cpp
+++ b/tests/unit/report_golden_test.cpp
@@ -1,9 +1,7 @@
+#include "tests/support/golden_file.hpp"
 #include "tests/unit/report_fixture.hpp"
 
-#include <cstdlib>
 #include <doctest/doctest.h>
-#include <fstream>
-#include <sstream>
 
 using namespace briardrum;
 using namespace briardrum::tests;
@@ -11,29 +9,6 @@
 namespace
 {
 
-const std::string folder =
-    std::string(BRIARDRUM_SOURCE_DIR) + "/tests/golden/report/";
-
-auto read_file(const std::string& path) -> std::string
-{
-    std::ifstream in(path);
-    std::stringstream out;
-    out << in.rdbuf();
-    return out.str();
-}
-
-// Compares with the golden file; BRIARDRUM_ACCEPT=1 rewrites it instead.
-auto check_golden(const std::string& name, const std::string& text) -> void
-{
-    const auto path = folder + name;
-    const char* accept = std::getenv("BRIARDRUM_ACCEPT");
-    if (accept != nullptr && std::string_view(accept) == "1")
-    {
-        std::ofstream(path) << text;
-    }
-    CHECK(read_file(path) == text);
-}
-
 // How many requests a minute of a day brings: quiet nights, a busy forenoon.
 auto rate_at(int minute) -> int
 {
@@ -124,8 +99,8 @@
 {
     const auto page = make_day_report({day_start, at(24, 0), at(16, 5)},
                                       merge_reports(make_day(false)), {});
-    check_golden("well.txt", write_text(page));
-    check_golden("well.html", write_html(page));
+    check_golden("report/well.txt", write_text(page));
+    check_golden("report/well.html", write_html(page));
 }
 
 TEST_CASE("golden: the page of a day with a flood, a broken flow and a restart")
@@ -134,6 +109,6 @@
     const auto page =
         make_day_report({day_start, at(24, 0), at(16, 5)},
                         merge_reports(make_day(true)), unreachable);
-    check_golden("amiss.txt", write_text(page));
-    check_golden("amiss.html", write_html(page));
+    check_golden("report/amiss.txt", write_text(page));
+    check_golden("report/amiss.html", write_html(page));
 }
