The check of a wrong service reads the caller's exit code

Cause: the caller exits 1 when an answer is wrong, as it should; under pipefail the pipe to grep then failed the check although all five were counted. Ruled out: ignoring the exit code; the check now wants it to be non-zero too. Conclusion: stricter than before, and true.

--- a/scripts/checks/stand_ins.sh
+++ b/scripts/checks/stand_ins.sh
@@ -20,9 +20,15 @@
     "$build/stand_ins/caller" "${caller_arguments[@]}" "$@"
 }
 
+# The caller must count all five answers as wrong and say so by its exit code.
 wrong_service_is_seen() {
-    "$build/stand_ins/caller" lookups --target "127.0.0.1:$stand_in_port" \
-        --service docs --sessions 5 --count 1 | grep ' wrong=5 '
+    local line
+    if line=$("$build/stand_ins/caller" lookups --service docs --count 1 \
+        --target "127.0.0.1:$stand_in_port" --sessions 5); then
+        return 1
+    fi
+    echo "$line"
+    grep -q ' wrong=5 ' <<<"$line"
 }
 
 # Both callers confirm the same five keys.
