--- /dev/null
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -0,0 +1,177 @@
+#include "io/daemons/packet_agent_daemon.hpp"
+
+#include <utility>
+
+namespace briardrum
+{
+
+namespace
+{
+
+auto agent_settings_of(const packet_process_settings& settings)
+    -> packet_agent_settings
+{
+    packet_agent_settings out;
+    out.service_name = settings.service_name;
+    out.heartbeat_interval = settings.heartbeat_interval;
+    out.flow_lifetime = settings.flow_lifetime;
+    return out;
+}
+
+} // namespace
+
+packet_agent_daemon::packet_agent_daemon(
+    const packet_process_settings& settings, packet_format format,
+    server_protocol protocol)
+    : settings_(settings), process_(settings, std::move(format)),
+      protocol_(std::move(protocol)), from_server_(process_.context()),
+      heartbeats_(process_.context(),
+                  [this](const http_request& request)
+                  {
+                      return answer_server(request);
+                  }),
+      core_(process_.members(), agent_settings_of(settings), make_agent_hooks(),
+            clock::now())
+{
+}
+
+auto packet_agent_daemon::make_agent_hooks() -> packet_hooks
+{
+    auto out = process_.make_packet_hooks();
+    out.send_to_server = [this](const flow_packet& packet)
+    {
+        process_.format().write(packet, {},
+                                from_server_.queue(settings_.server));
+    };
+    return out;
+}
+
+auto packet_agent_daemon::start() -> absl::Status
+{
+    auto status = from_server_.open(settings_.from_server);
+    if (status.ok())
+    {
+        status = heartbeats_.start(settings_.heartbeats);
+    }
+    if (!status.ok())
+    {
+        return status;
+    }
+    udp_hooks hooks;
+    hooks.on_datagram = [this](const endpoint& from, byte_view bytes)
+    {
+        process_.read_packets(bytes, from,
+                              [this](const endpoint&, const flow_packet& packet)
+                              {
+                                  core_.on_server_packet(clock::now(), packet);
+                              });
+    };
+    from_server_.start(std::move(hooks));
+    return process_.start(make_hooks());
+}
+
+auto packet_agent_daemon::run() -> int
+{
+    return process_.run();
+}
+
+auto packet_agent_daemon::make_hooks() -> packet_process_hooks
+{
+    packet_process_hooks out;
+    out.on_packet = [this](const endpoint& from, const flow_packet& packet)
+    {
+        core_.on_packet(clock::now(), from, packet);
+    };
+    out.is_ready = [this]
+    {
+        return core_.server().is_known();
+    };
+    out.metrics = [this](metrics_text& text)
+    {
+        write_metrics(text);
+    };
+    out.loop.on_tick = [this](millis now)
+    {
+        core_.tick(now);
+    };
+    out.loop.on_stop = [this](millis now)
+    {
+        core_.drain(now);
+    };
+    out.loop.is_quiet = [this](millis)
+    {
+        return core_.is_quiet();
+    };
+    return out;
+}
+
+auto packet_agent_daemon::answer_server(const http_request& request)
+    -> http_response
+{
+    const auto said = protocol_.read(request);
+    if (!said.ok())
+    {
+        ++bad_heartbeats_;
+        const auto kind = kind_of(said.status());
+        const auto status =
+            kind == error_kind::not_found ? http_not_found : http_bad_request;
+        process_.events()(
+            event("heartbeat_refused", event_level::warning)
+                .with("target", request.target)
+                .with("why", std::string(said.status().message())));
+        return {status, "text/plain", ""};
+    }
+    if (const auto* heartbeat = std::get_if<server_heartbeat>(&*said))
+    {
+        return answer_heartbeat(*heartbeat);
+    }
+    const auto& leave = std::get<server_leave>(*said);
+    core_.on_leave(clock::now(), leave.server_id);
+    return {http_ok, "application/json", "{}"};
+}
+
+auto packet_agent_daemon::answer_heartbeat(const server_heartbeat& heartbeat)
+    -> http_response
+{
+    if (heartbeat.address != settings_.server)
+    {
+        ++bad_heartbeats_;
+        process_.events()(
+            event("heartbeat_refused", event_level::warning)
+                .with("server", heartbeat.server_id)
+                .with("address", to_string(heartbeat.address))
+                .with("expected", to_string(settings_.server))
+                .with("why", "the server is not the one beside this agent"));
+        return {http_bad_request, "text/plain", ""};
+    }
+    const auto outcome = core_.on_heartbeat(clock::now(), heartbeat);
+    if (outcome == heartbeat_outcome::outdated)
+    {
+        return {http_conflict, "text/plain", ""};
+    }
+    return {http_ok, "application/json", "{}"};
+}
+
+auto packet_agent_daemon::write_metrics(metrics_text& out) const -> void
+{
+    const auto& it = core_.tallies();
+    out.counter("flows_started_total", it.started);
+    out.counter("flows_offered_on_total", it.offered_on);
+    out.counter("flows_settled_elsewhere_total", it.settled_elsewhere);
+    out.counter("flows_queued_total", it.queued);
+    out.counter("flows_refused_total", it.refused);
+    out.counter("flows_reset_total", it.reset);
+    out.counter("packets_relayed_total", it.relayed);
+    out.counter("searches_total", it.searched);
+    out.counter("searches_found_total", it.found);
+    out.counter("searches_failed_total", it.search_failed);
+    out.counter("packets_returned_total", it.returned);
+    out.counter("packets_wrong_service_total", it.wrong_service);
+    out.counter("packets_dropped_total", it.dropped);
+    out.counter("heartbeats_refused_total", bad_heartbeats_);
+    out.gauge("flows", core_.flow_count());
+    out.gauge("flows_busy", core_.admission().busy());
+    out.gauge("flows_waiting", core_.admission().waiting());
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/io/daemons/packet_balancer_daemon.cpp
@@ -0,0 +1,115 @@
+#include "io/daemons/packet_balancer_daemon.hpp"
+
+#include <utility>
+
+namespace briardrum
+{
+
+packet_balancer_daemon::packet_balancer_daemon(
+    const packet_process_settings& settings, packet_format format,
+    packet_balancer_store from)
+    : process_(settings, std::move(format)), from_(std::move(from)),
+      store_(from_.open(process_.context(), process_.events())),
+      core_(process_.members(), process_.make_packet_hooks()),
+      configuration_(*store_, {from_.configuration_key},
+                     {[this](const std::string& text, store_revision at)
+                      {
+                          on_configuration(text, at);
+                      },
+                      process_.events()},
+                     member_id_of(settings.name))
+{
+}
+
+auto packet_balancer_daemon::start() -> absl::Status
+{
+    return process_.start(make_hooks());
+}
+
+auto packet_balancer_daemon::run() -> int
+{
+    configuration_.refresh(clock::now());
+    return process_.run();
+}
+
+auto packet_balancer_daemon::make_hooks() -> packet_process_hooks
+{
+    packet_process_hooks out;
+    out.on_packet = [this](const endpoint&, const flow_packet& packet)
+    {
+        on_packet(packet);
+    };
+    out.is_ready = [this]
+    {
+        return core_.is_ready();
+    };
+    out.metrics = [this](metrics_text& text)
+    {
+        write_metrics(text);
+    };
+    out.loop.on_tick = [this](millis now)
+    {
+        configuration_.tick(now);
+    };
+    // The fabric is told by the readiness answer and goes on sending for a
+    // while: a stopping balancer forwards until its time is over.
+    out.loop.on_stop = [this](millis now)
+    {
+        process_.members().set_state(now, member_state::draining);
+    };
+    out.loop.is_quiet = [](millis)
+    {
+        return false;
+    };
+    return out;
+}
+
+auto packet_balancer_daemon::on_packet(const flow_packet& packet) -> void
+{
+    if (packet.label.kind == label_kind::hint)
+    {
+        core_.on_hint(packet);
+        return;
+    }
+    core_.on_caller_packet(clock::now(), packet);
+}
+
+auto packet_balancer_daemon::on_configuration(const std::string& text,
+                                              store_revision at) -> void
+{
+    auto table = from_.read_configuration(text);
+    if (!table.ok())
+    {
+        ++bad_configurations_;
+        process_.events()(
+            event("configuration_refused", event_level::error)
+                .with("revision", static_cast<std::uint64_t>(at))
+                .with("why", std::string(table.status().message())));
+        return;
+    }
+    const auto now = clock::now();
+    const auto next = std::make_shared<const route_table>(*std::move(table));
+    if (core_.adopt(now, next))
+    {
+        process_.members().set_holds(now, next->version);
+    }
+}
+
+auto packet_balancer_daemon::write_metrics(metrics_text& out) const -> void
+{
+    const auto& it = core_.tallies();
+    out.counter("flows_placed_total", it.opened);
+    out.counter("packets_by_hint_total", it.by_hint);
+    out.counter("packets_by_home_total", it.by_home);
+    out.counter("packets_to_former_service_total", it.to_former_service);
+    out.counter("packets_dropped_total", it.no_configuration,
+                {"reason", "no_configuration"});
+    out.counter("packets_dropped_total", it.no_route, {"reason", "no_route"});
+    out.counter("packets_dropped_total", it.no_agent, {"reason", "no_agent"});
+    out.counter("hints_learnt_total", it.hints_learnt);
+    out.counter("configurations_refused_total", bad_configurations_);
+    out.gauge("routes_version", core_.version());
+    out.gauge("store_answers", configuration_.is_connected() ? 1 : 0);
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/io/daemons/packet_balancer_daemon.hpp
@@ -0,0 +1,50 @@
+#ifndef BRIARDRUM_IO_DAEMONS_PACKET_BALANCER_DAEMON_HPP
+#define BRIARDRUM_IO_DAEMONS_PACKET_BALANCER_DAEMON_HPP
+
+#include "io/daemons/packet_process.hpp"
+#include "node/store/document_watch.hpp"
+
+#include <memory>
+
+namespace briardrum
+{
+
+// What the balancer for packet flows reads from the store, and how.
+struct packet_balancer_store
+{
+    // Makes the store's client on the process's event loop.
+    std::function<std::unique_ptr<store>(asio::io_context&, event_sink)> open;
+    // The key of the operators' newest configuration.
+    std::string configuration_key;
+    std::function<absl::StatusOr<route_table>(const std::string&)>
+        read_configuration;
+};
+
+// The process that takes callers' packets from the fabric and forwards them
+// to agents: packet_balancer with sockets, the store and membership.
+class packet_balancer_daemon
+{
+public:
+    packet_balancer_daemon(const packet_process_settings& settings,
+                           packet_format format, packet_balancer_store from);
+
+    auto start() -> absl::Status;
+    auto run() -> int;
+
+private:
+    auto make_hooks() -> packet_process_hooks;
+    auto on_packet(const flow_packet& packet) -> void;
+    auto on_configuration(const std::string& text, store_revision at) -> void;
+    auto write_metrics(metrics_text& out) const -> void;
+
+    packet_process process_;
+    packet_balancer_store from_;
+    std::unique_ptr<store> store_;
+    packet_balancer core_;
+    document_watch configuration_;
+    std::uint64_t bad_configurations_ = 0;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/io/daemons/packet_process.hpp
@@ -0,0 +1,88 @@
+#ifndef BRIARDRUM_IO_DAEMONS_PACKET_PROCESS_HPP
+#define BRIARDRUM_IO_DAEMONS_PACKET_PROCESS_HPP
+
+#include "io/daemons/packet_format.hpp"
+#include "io/daemons/packet_process_settings.hpp"
+#include "io/daemons/process_loop.hpp"
+#include "io/http/http_server.hpp"
+#include "io/http/metrics_text.hpp"
+#include "io/udp/udp_socket.hpp"
+#include "membership/membership.hpp"
+#include "packets/packets.hpp"
+
+namespace briardrum
+{
+
+// What a daemon adds to its packet_process.
+struct packet_process_hooks
+{
+    process_loop_hooks loop;
+    // A packet at the process's packet address.
+    std::function<void(const endpoint& from, const flow_packet&)> on_packet;
+    std::function<void(const control_message&)> on_control;
+    std::function<bool()> is_ready;
+    std::function<void(metrics_text&)> metrics;
+};
+
+// What the balancer and the agent for packet flows share: the loop, the packet
+// socket, membership over UDP, and the readiness and metrics addresses.
+//
+// Create it, then the daemon's core over members(), then start() and run().
+class packet_process
+{
+public:
+    packet_process(packet_process_settings settings, packet_format format);
+    packet_process(const packet_process&) = delete;
+    auto operator=(const packet_process&) -> packet_process& = delete;
+
+    // Binds every address.
+    auto start(packet_process_hooks hooks) -> absl::Status;
+    auto run() -> int;
+
+    auto context() -> asio::io_context&;
+    auto events() -> event_sink;
+    auto members() -> member_view&;
+    auto is_stopping() const -> bool;
+    auto format() const -> const packet_format&;
+
+    // Packet hooks that send from the packet socket; the daemon adds what it
+    // needs besides.
+    auto make_packet_hooks() -> packet_hooks;
+
+    // Adds members to start from, as found in the store.
+    auto add_start_addresses(std::span<const endpoint> found) -> void;
+
+    // An open UDP socket like the packet socket, for another address.
+    auto read_packets(
+        byte_view bytes, const endpoint& from,
+        const std::function<void(const endpoint&, const flow_packet&)>& take)
+        -> void;
+
+private:
+    auto send_control(const endpoint& to, const control_message& message)
+        -> void;
+    auto send_control_part(const endpoint& to, const control_message& message)
+        -> void;
+    auto on_control(const endpoint& from, byte_view bytes) -> void;
+    auto answer(const http_request& request) -> http_response;
+    auto write_metrics() -> std::string;
+    auto tick(millis now) -> void;
+    auto own_record() const -> member_record;
+
+    packet_process_settings settings_;
+    packet_format format_;
+    process_loop loop_;
+    udp_socket packets_;
+    udp_socket control_;
+    http_server http_;
+    member_view members_;
+    packet_process_hooks hooks_;
+    std::uint64_t bad_packets_ = 0;
+    std::uint64_t bad_control_ = 0;
+    millis next_member_tick_;
+    bool was_ready_ = false;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/io/daemons/packet_process_settings.hpp
@@ -0,0 +1,47 @@
+#ifndef BRIARDRUM_IO_DAEMONS_PACKET_PROCESS_SETTINGS_HPP
+#define BRIARDRUM_IO_DAEMONS_PACKET_PROCESS_SETTINGS_HPP
+
+#include "core/core.hpp"
+#include "wire/messages/member_record.hpp"
+
+#include <string>
+#include <vector>
+
+namespace briardrum
+{
+
+// What the daemons for packet flows are told at start.
+struct packet_process_settings
+{
+    // Unique in the fleet; the member id is made from it.
+    std::string name;
+    member_kind kind = member_kind::agent;
+    std::string data_centre;
+    // Own addresses: packets (UDP), readiness and metrics (HTTP), membership
+    // (UDP).
+    endpoint packets;
+    endpoint readiness;
+    endpoint members;
+    // Metrics besides the readiness address; none when empty.
+    endpoint metrics;
+    // Packets for callers go to their address at this port.
+    std::uint16_t caller_port = 0;
+    // Membership addresses of a few members; some may be stale.
+    std::vector<endpoint> start_addresses;
+    endpoint store;
+    event_level log_level = event_level::info;
+    millis stop_bound = seconds(5);
+
+    // Agents only. Where the server beside it takes packets, where it sends
+    // its own, where it sends heartbeats, and what it is.
+    endpoint server;
+    endpoint from_server;
+    endpoint heartbeats;
+    std::string service_name;
+    millis heartbeat_interval = seconds(1);
+    millis flow_lifetime = seconds(60);
+};
+
+} // namespace briardrum
+
+#endif
--- a/modules/io/daemons/process_host.hpp
+++ b/modules/io/daemons/process_host.hpp
@@ -4,14 +4,12 @@
 #include "config/config.hpp"
 #include "io/control/control_pool.hpp"
 #include "io/control/control_server.hpp"
-#include "io/daemons/exit_codes.hpp"
+#include "io/daemons/process_loop.hpp"
 #include "io/http/local_http.hpp"
 #include "io/http/metrics_text.hpp"
-#include "io/log/event_log.hpp"
 #include "wire/wire.hpp"
 
 #include <functional>
-#include <optional>
 
 namespace briardrum
 {
@@ -33,8 +31,8 @@
     std::function<std::string()> report;
 };
 
-// What every daemon has: the event loop, logs, control connections, the local
-// HTTP address, a tick and a graceful stop.
+// What the daemons for CoAP flows have: the process_loop, control connections
+// and the local HTTP address.
 //
 // Create it, hang sockets on context(), call start() with the hooks, then
 // run(). SIGTERM or SIGINT begins the graceful stop: the daemon works on until
@@ -68,21 +66,13 @@
     auto is_stopping() const -> bool;
 
 private:
-    auto wait_for_tick() -> void;
-    auto wait_for_signal() -> void;
     auto tick(millis now) -> void;
     auto tick_control(millis now) -> void;
-    auto tick_stop(millis now) -> void;
-    auto on_signal() -> void;
     auto write_metrics() -> std::string;
 
     process_settings settings_;
-    millis tick_interval_;
     incarnation life_;
-    asio::io_context context_;
-    asio::signal_set signals_;
-    asio::steady_timer timer_;
-    event_log log_;
+    process_loop loop_;
     process_host_hooks hooks_;
     control_counters counters_;
     control_server server_;
@@ -90,10 +80,6 @@
     std::unique_ptr<local_http> http_;
     byte_buffer heartbeat_;
     millis control_tick_at_;
-    millis log_report_at_;
-    std::optional<millis> stopping_since_;
-    std::optional<millis> leaving_since_;
-    int exit_code_ = exit_stopped;
 };
 
 } // namespace briardrum
--- /dev/null
+++ b/modules/io/http/http_client.hpp
@@ -0,0 +1,59 @@
+#ifndef BRIARDRUM_IO_HTTP_HTTP_CLIENT_HPP
+#define BRIARDRUM_IO_HTTP_HTTP_CLIENT_HPP
+
+#include "core/core.hpp"
+#include "io/http/http_message.hpp"
+
+#include <absl/status/statusor.h>
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace briardrum
+{
+
+// Makes HTTP/1.1 calls to one server, on the thread that runs the context.
+//
+// Each call has a deadline of its own, for a connection may go silent without
+// an error; one that missed a deadline is not used again. Connections are
+// kept for later calls.
+class http_client
+{
+public:
+    using callback = std::function<void(absl::StatusOr<http_response>)>;
+
+    // Calls that come often, one at a time, and one that waits long.
+    static constexpr std::size_t idle_connections_max = 2;
+    static constexpr std::size_t body_bytes_max = std::size_t{4} << 20U;
+
+    http_client(asio::io_context& context, const endpoint& server);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    auto operator=(const http_client&) -> http_client& = delete;
+
+    // done runs once: with the response, with error_kind::unavailable when
+    // the request did not reach the server, or error_kind::unknown_outcome
+    // when it may have.
+    auto call(const http_request& request, millis timeout, callback done)
+        -> void;
+
+    // Ends every call without running its callback.
+    auto close() -> void;
+
+private:
+    class connection;
+
+    auto take_connection() -> std::shared_ptr<connection>;
+    auto keep(const std::shared_ptr<connection>& item) -> void;
+    auto forget(const std::shared_ptr<connection>& item) -> void;
+
+    asio::io_context& context_;
+    endpoint server_;
+    std::vector<std::shared_ptr<connection>> idle_;
+    std::vector<std::shared_ptr<connection>> used_;
+};
+
+} // namespace briardrum
+
+#endif
--- a/modules/io/http/local_http.hpp
+++ b/modules/io/http/local_http.hpp
@@ -2,10 +2,10 @@
 #define BRIARDRUM_IO_HTTP_LOCAL_HTTP_HPP
 
 #include "core/core.hpp"
+#include "io/http/http_server.hpp"
 
 #include <absl/status/status.h>
 #include <functional>
-#include <memory>
 #include <string>
 
 namespace briardrum
@@ -18,12 +18,9 @@
     std::string reason;
 };
 
-// What a process tells when asked. Both are called on the thread that runs
-// the process, never on the HTTP thread.
+// What a process tells when asked.
 struct local_http_hooks
 {
-    // Runs a task on the process's thread.
-    std::function<void(std::function<void()>)> post;
     // Metrics in the Prometheus text format.
     std::function<std::string()> metrics;
     std::function<health_report()> health;
@@ -32,25 +29,22 @@
 };
 
 // Answers GET /metrics, GET /report and GET /healthz (200 when ready, else 503
-// with the reason) on a thread of its own. A process that does not run the task
-// within answer_timeout is reported as stuck, by 503.
+// with the reason) on the process's own thread, so that a stuck process is
+// seen as one: it does not answer.
 class local_http
 {
 public:
-    static constexpr millis answer_timeout = seconds(2);
-
-    explicit local_http(local_http_hooks hooks);
-    ~local_http();
-    local_http(const local_http&) = delete;
-    auto operator=(const local_http&) -> local_http& = delete;
+    local_http(asio::io_context& context, local_http_hooks hooks);
 
     // Binds and starts answering; error_kind::unavailable when the address
     // cannot be had.
     auto start(const endpoint& local) -> absl::Status;
 
 private:
-    struct state;
-    std::unique_ptr<state> state_;
+    auto answer(const http_request& request) const -> http_response;
+
+    local_http_hooks hooks_;
+    http_server server_;
 };
 
 } // namespace briardrum
--- a/modules/io/log/event_log.cpp
+++ b/modules/io/log/event_log.cpp
@@ -1,7 +1,7 @@
 #include "io/log/event_log.hpp"
 
 #include <spdlog/pattern_formatter.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
 namespace briardrum
 {
@@ -28,15 +28,24 @@
 } // namespace
 
 event_log::event_log(const std::string& process, event_level level)
-    : level_(level),
-      logger_(std::make_shared<spdlog::logger>(
-          process, std::make_shared<spdlog::sinks::stderr_sink_mt>()))
+    : level_(level), output_(std::make_shared<bounded_output>(STDOUT_FILENO)),
+      logger_(std::make_shared<spdlog::logger>(process, output_))
 {
     logger_->set_formatter(std::make_unique<spdlog::pattern_formatter>(
         "time=%Y-%m-%dT%H:%M:%S.%eZ level=%l process=%n %v",
         spdlog::pattern_time_type::utc));
     logger_->set_level(to_spdlog(level));
-    logger_->flush_on(spdlog::level::trace);
+    logger_->flush_on(spdlog::level::warn);
+}
+
+event_log::~event_log()
+{
+    flush();
+}
+
+auto event_log::flush() -> void
+{
+    output_->flush();
 }
 
 auto event_log::write(millis now, const event& value) -> void
@@ -58,6 +67,13 @@
                               .line();
         logger_->log(spdlog::level::warn, line);
     }
+    const auto lost = output_->take_lost();
+    if (lost > 0)
+    {
+        const auto line =
+            event("log_lost", event_level::warning).with("lines", lost).line();
+        logger_->log(spdlog::level::warn, line);
+    }
 }
 
 auto event_log::sink() -> event_sink
--- a/modules/membership/gossip/gossiper.cpp
+++ b/modules/membership/gossip/gossiper.cpp
@@ -50,6 +50,19 @@
     return *members_.find(self_);
 }
 
+auto gossiper::add_start_addresses(std::span<const endpoint> more) -> void
+{
+    for (const auto& it : more)
+    {
+        const auto known =
+            std::find(start_addresses_.begin(), start_addresses_.end(), it);
+        if (known == start_addresses_.end() && it != own().control_address)
+        {
+            start_addresses_.push_back(it);
+        }
+    }
+}
+
 auto gossiper::queue(member_id id) -> void
 {
     changes_.add(id, sends_per_change());
--- a/modules/membership/gossip/gossiper.hpp
+++ b/modules/membership/gossip/gossiper.hpp
@@ -29,6 +29,9 @@
              const membership_settings& settings, send_hook send,
              std::uint64_t seed);
 
+    // More addresses to start from; known ones are passed over.
+    auto add_start_addresses(std::span<const endpoint> more) -> void;
+
     // A record changed here and is to be spread.
     auto queue(member_id id) -> void;
 
--- a/modules/membership/member_view.cpp
+++ b/modules/membership/member_view.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-constexpr millis join_interval = seconds(1);
-constexpr std::uint32_t join_answers = 3;
 constexpr millis forget_interval = seconds(10);
 
 // A member is told so often at most that it is taken for suspect or dead.
@@ -49,6 +47,11 @@
     gossiper_.queue(self_);
 }
 
+auto member_view::add_start_addresses(std::span<const endpoint> more) -> void
+{
+    gossiper_.add_start_addresses(more);
+}
+
 auto member_view::send_to(const endpoint& to, control_body body) -> void
 {
     if (hooks_.send && !replaced_)
@@ -386,12 +389,14 @@
 // have known little.
 auto member_view::join(millis now) -> void
 {
-    if (answers_ >= join_answers || next_join_ > now)
+    if (answers_ >= settings_.join_answers || next_join_ > now)
     {
         return;
     }
     asked_ = gossiper_.ask_for_all();
-    next_join_ = now + join_interval;
+    const auto alone = members_.live().size() <= 1;
+    next_join_ =
+        now + (alone ? settings_.join_interval_alone : settings_.join_interval);
 }
 
 auto member_view::notice_answer(const endpoint& from) -> void
@@ -405,7 +410,7 @@
 
 auto member_view::has_synchronised() const -> bool
 {
-    return answers_ >= join_answers;
+    return answers_ >= settings_.join_answers;
 }
 
 auto member_view::resynchronise() -> void
@@ -467,6 +472,15 @@
         });
 }
 
+auto member_view::set_service(millis, const std::string& service_name) -> void
+{
+    change_self(
+        [&](member_record& own)
+        {
+            own.service_name = service_name;
+        });
+}
+
 auto member_view::set_holds(millis, configuration_version version) -> void
 {
     auto own = self();
--- a/modules/membership/member_view.hpp
+++ b/modules/membership/member_view.hpp
@@ -46,6 +46,9 @@
     member_view(const member_view&) = delete;
     auto operator=(const member_view&) -> member_view& = delete;
 
+    // More addresses to start from, found after the start.
+    auto add_start_addresses(std::span<const endpoint> more) -> void;
+
     // Handles gossip, probes and probe answers; false for other kinds.
     auto on_control(millis now, const control_message& message) -> bool;
 
@@ -56,6 +59,7 @@
     auto set_state(millis now, member_state state) -> void;
     auto set_weight(millis now, std::uint8_t weight_percent) -> void;
     auto set_slots(millis now, std::uint32_t slots) -> void;
+    auto set_service(millis now, const std::string& service_name) -> void;
 
     // The newest configuration held. It changes on every process at once, so
     // it raises no version and goes out with whatever is sent next.
--- a/modules/membership/membership_settings.hpp
+++ b/modules/membership/membership_settings.hpp
@@ -22,6 +22,12 @@
     // How often one message of records that need not have changed is sent to
     // one other member, which repairs what gossip missed.
     millis anti_entropy_interval = seconds(10);
+    // How often a newcomer asks a member for everything it knows, until so many
+    // answered: the first may itself have known little. While it knows nobody
+    // it may ask more often.
+    millis join_interval = seconds(1);
+    millis join_interval_alone = seconds(1);
+    std::uint32_t join_answers = 3;
     std::uint32_t gossip_fanout = 3;
     std::uint32_t indirect_probes = 2;
     // Records in one gossip message.
--- a/modules/node/agent/agent_context.hpp
+++ b/modules/node/agent/agent_context.hpp
@@ -61,7 +61,7 @@
     service_candidates candidates;
     flow_table flows;
     redirect_table redirects;
-    held_packets held;
+    held_packets<envelope> held;
     agent_counters counters;
 
 private:
--- /dev/null
+++ b/modules/node/store/document_watch.hpp
@@ -0,0 +1,85 @@
+#ifndef BRIARDRUM_NODE_STORE_DOCUMENT_WATCH_HPP
+#define BRIARDRUM_NODE_STORE_DOCUMENT_WATCH_HPP
+
+#include "node/store/store.hpp"
+
+#include <memory>
+
+namespace briardrum
+{
+
+struct document_watch_settings
+{
+    std::string key;
+    // Between a failed call and the next: short against the time in which a
+    // change must be in force, long against what the store bears when all
+    // processes try at once.
+    millis retry_interval = milliseconds(300);
+    millis retry_interval_max = seconds(2);
+};
+
+struct document_watch_hooks
+{
+    // A value that was read or changed; its revision only rises.
+    std::function<void(const std::string& value, store_revision)> on_value;
+    event_sink events;
+};
+
+// Keeps up with one key of the store: reads it, watches it from there, and
+// reads again when the watch ends for whatever reason. An unreachable store
+// changes nothing that is known.
+//
+// tick() every 100 ms or so; refresh() reads at once, for when others are
+// known to have a newer value.
+class document_watch
+{
+public:
+    document_watch(store& from, document_watch_settings settings,
+                   document_watch_hooks hooks, std::uint64_t seed);
+    ~document_watch();
+    document_watch(const document_watch&) = delete;
+    auto operator=(const document_watch&) -> document_watch& = delete;
+
+    auto tick(millis now) -> void;
+    auto refresh(millis now) -> void;
+
+    // True while the last call was answered.
+    auto is_connected() const -> bool;
+    auto revision() const -> store_revision;
+
+private:
+    enum class stage : std::uint8_t
+    {
+        waiting,
+        reading,
+        watching,
+    };
+
+    auto read() -> void;
+    auto on_range(const absl::StatusOr<store_range_result>& result) -> void;
+    auto watch() -> void;
+    auto on_batch(const absl::StatusOr<store_watch_batch>& batch) -> void;
+    auto take(const std::string& value, store_revision at) -> void;
+    auto note_connected() -> void;
+    auto retry(const absl::Status& why) -> void;
+
+    store& store_;
+    document_watch_settings settings_;
+    document_watch_hooks hooks_;
+    random_source random_;
+    stage stage_ = stage::waiting;
+    millis now_;
+    millis next_read_;
+    millis backoff_;
+    store_revision revision_ = 0;
+    store_revision watched_from_ = 0;
+    watch_id watch_ = 0;
+    bool connected_ = false;
+    bool told_lost_ = false;
+    // Keeps late callbacks from reaching an object that is gone.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/packets/agent/flow_admission.cpp
@@ -0,0 +1,158 @@
+#include "packets/agent/flow_admission.hpp"
+
+#include <algorithm>
+
+namespace briardrum
+{
+
+namespace
+{
+
+// Weight of a new sample in the smoothed slot time, as 1 / n: about the last
+// sixteen requests count, which is under a second at the smallest servers.
+constexpr std::int64_t slot_time_smoothing = 16;
+constexpr std::int64_t microseconds_per_milli = 1000;
+
+} // namespace
+
+flow_admission::flow_admission(admission_settings settings)
+    : settings_(settings)
+{
+}
+
+auto flow_admission::set_slots(std::uint32_t slots) -> void
+{
+    slots_ = std::max<std::uint32_t>(1, slots);
+}
+
+auto flow_admission::occupy() -> void
+{
+    ++busy_;
+}
+
+auto flow_admission::vacate(std::optional<millis> used_for) -> void
+{
+    // The caller gives back a slot that it did not occupy.
+    BRIARDRUM_INVARIANT(busy_ > 0);
+    --busy_;
+    if (!used_for.has_value())
+    {
+        return;
+    }
+    const auto sample = used_for->count * microseconds_per_milli;
+    slot_time_us_ += slot_time_us_ == 0
+                         ? sample
+                         : (sample - slot_time_us_) / slot_time_smoothing;
+}
+
+auto flow_admission::has_room(std::uint32_t allowance) const -> bool
+{
+    return busy_ < slots_ + allowance;
+}
+
+auto flow_admission::has_free_slot() const -> bool
+{
+    return waiting_.empty() && has_room(settings_.allowance_offered);
+}
+
+auto flow_admission::settle() const -> admission_verdict
+{
+    if (waiting_.empty() && has_room(settings_.allowance_settled))
+    {
+        return admission_verdict::start;
+    }
+    const auto full =
+        waiting_.size() >= std::size_t{slots_} * settings_.waiting_per_slot;
+    if (full || expected_wait() > settings_.wait_max)
+    {
+        return admission_verdict::refuse;
+    }
+    return admission_verdict::wait;
+}
+
+auto flow_admission::push(millis now, const flow_key& flow,
+                          std::uint8_t urgency) -> void
+{
+    waiting_.push_back({flow, urgency, now});
+}
+
+auto flow_admission::pop(millis now) -> std::optional<flow_key>
+{
+    if (waiting_.empty() || !has_room(settings_.allowance_settled))
+    {
+        return std::nullopt;
+    }
+    const auto newest_first =
+        now - waiting_.front().since > settings_.newest_first_after;
+    auto best = waiting_.begin();
+    for (auto it = waiting_.begin(); it != waiting_.end(); ++it)
+    {
+        const auto better = newest_first ? it->urgency <= best->urgency
+                                         : it->urgency < best->urgency;
+        best = better ? it : best;
+    }
+    const auto flow = best->flow;
+    waiting_.erase(best);
+    return flow;
+}
+
+auto flow_admission::take_expired(millis now) -> std::vector<flow_key>
+{
+    std::vector<flow_key> out;
+    std::erase_if(waiting_,
+                  [&](const waiting_flow& it)
+                  {
+                      const auto over = now - it.since > settings_.wait_max;
+                      if (over)
+                      {
+                          out.push_back(it.flow);
+                      }
+                      return over;
+                  });
+    return out;
+}
+
+auto flow_admission::take_all() -> std::vector<flow_key>
+{
+    std::vector<flow_key> out;
+    for (const auto& it : waiting_)
+    {
+        out.push_back(it.flow);
+    }
+    waiting_.clear();
+    return out;
+}
+
+auto flow_admission::remove(const flow_key& flow) -> void
+{
+    std::erase_if(waiting_,
+                  [&](const waiting_flow& it)
+                  {
+                      return it.flow == flow;
+                  });
+}
+
+auto flow_admission::expected_wait() const -> millis
+{
+    const auto ahead = std::int64_t{busy_} +
+                       static_cast<std::int64_t>(waiting_.size()) -
+                       std::int64_t{slots_};
+    if (ahead <= 0)
+    {
+        return {};
+    }
+    return {ahead * slot_time_us_ / std::int64_t{slots_} /
+            microseconds_per_milli};
+}
+
+auto flow_admission::busy() const -> std::uint32_t
+{
+    return busy_;
+}
+
+auto flow_admission::waiting() const -> std::size_t
+{
+    return waiting_.size();
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/packets/agent/owned_flow.cpp
@@ -0,0 +1,24 @@
+#include "packets/agent/owned_flow.hpp"
+
+namespace briardrum
+{
+
+auto to_string(flow_phase phase) -> std::string_view
+{
+    switch (phase)
+    {
+    case flow_phase::waiting:
+        return "waiting";
+    case flow_phase::opening:
+        return "opening";
+    case flow_phase::asking:
+        return "asking";
+    case flow_phase::idle:
+        return "idle";
+    case flow_phase::probing:
+        break;
+    }
+    return "probing";
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/packets/balancer/balancer_tallies.hpp
@@ -0,0 +1,24 @@
+#ifndef BRIARDRUM_PACKETS_BALANCER_BALANCER_TALLIES_HPP
+#define BRIARDRUM_PACKETS_BALANCER_BALANCER_TALLIES_HPP
+
+#include <cstdint>
+
+namespace briardrum
+{
+
+// What a packet_balancer did, for metrics.
+struct balancer_tallies
+{
+    std::uint64_t opened = 0;
+    std::uint64_t by_hint = 0;
+    std::uint64_t by_home = 0;
+    std::uint64_t to_former_service = 0;
+    std::uint64_t no_configuration = 0;
+    std::uint64_t no_route = 0;
+    std::uint64_t no_agent = 0;
+    std::uint64_t hints_learnt = 0;
+};
+
+} // namespace briardrum
+
+#endif
--- /dev/null
+++ b/modules/packets/balancer/packet_balancer.hpp
@@ -0,0 +1,80 @@
+#ifndef BRIARDRUM_PACKETS_BALANCER_PACKET_BALANCER_HPP
+#define BRIARDRUM_PACKETS_BALANCER_PACKET_BALANCER_HPP
+
+#include "membership/membership.hpp"
+#include "packets/balancer/balancer_tallies.hpp"
+#include "packets/model/packet_hooks.hpp"
+#include "packets/model/route_table.hpp"
+#include "routing/routing.hpp"
+
+#include <map>
+#include <memory>
+
+namespace briardrum
+{
+
+// Forwards callers' packets to the agents of their route's service. It keeps
+// nothing that it cannot lose: where it has no hint, a packet goes to the
+// flow's home, the first agent in rendezvous order, which knows more.
+//
+// adopt() a route table; on_caller_packet() for each packet of the fabric,
+// on_notice() for each notice of an agent.
+class packet_balancer
+{
+public:
+    // Flows whose owner is remembered.
+    static constexpr std::size_t hint_places = 16384;
+    // How long packets of open flows are still sent to the services that
+    // their route had before; the longest life of a flow.
+    static constexpr millis former_service_time = seconds(60);
+
+    packet_balancer(const member_view& members, packet_hooks hooks);
+
+    // Takes a route table with a larger version; false otherwise.
+    auto adopt(millis now, std::shared_ptr<const route_table> next) -> bool;
+
+    auto on_caller_packet(millis now, const flow_packet& packet) -> void;
+
+    // An agent tells who owns a flow.
+    auto on_hint(const flow_packet& notice) -> void;
+
+    // True with a route table and at least one agent to send to.
+    auto is_ready() -> bool;
+
+    auto version() const -> configuration_version;
+    auto tallies() const -> const balancer_tallies&;
+
+private:
+    struct former_target
+    {
+        std::string service_name;
+        millis until;
+    };
+
+    auto remember_former(millis now, const route_table& next) -> void;
+    auto targets_of(const std::string& service_name) -> const service_targets&;
+    auto place(const flow_packet& packet, const route& found,
+               const flow_key& flow) -> void;
+    auto forward_open_flow(millis now, const flow_packet& packet,
+                           const route& found, const flow_key& flow) -> void;
+    auto forward_to_hint(const flow_packet& packet, const route& found,
+                         const flow_key& flow) -> bool;
+    auto send_to_home(const flow_packet& packet, const route& found,
+                      const std::string& service_name, const flow_key& flow)
+        -> void;
+    auto send(const endpoint& to, const flow_packet& packet, const route& found,
+              const std::string& service_name) -> void;
+    auto refuse_unknown_route(const flow_packet& packet) -> void;
+
+    const member_view& members_;
+    packet_hooks hooks_;
+    std::shared_ptr<const route_table> routes_;
+    std::map<std::string, service_targets> targets_;
+    std::map<endpoint, std::vector<former_target>> former_;
+    hint_cache hints_;
+    balancer_tallies tallies_;
+};
+
+} // namespace briardrum
+
+#endif
--- a/modules/routing/choice/service_targets.cpp
+++ b/modules/routing/choice/service_targets.cpp
@@ -18,7 +18,8 @@
     for (const auto id : members.agents_of(service_name))
     {
         const auto& record = *members.find(id);
-        targets_.push_back({id, record.life, record.data_address});
+        targets_.push_back({id, record.life, record.data_address,
+                            record.state == member_state::suspect});
     }
 }
 
@@ -39,6 +40,27 @@
     return id == 0 ? nullptr : find(id);
 }
 
+auto service_targets::place_of(const flow_key& flow, std::size_t tried) const
+    -> const service_target*
+{
+    const auto* home = home_of(flow);
+    if (home == nullptr || (tried == 0 && !home->suspect))
+    {
+        return home;
+    }
+    const auto order = rendezvous_order(flow, candidates_.serving());
+    std::vector<const service_target*> open;
+    for (const auto id : order)
+    {
+        const auto* target = find(id);
+        if (target != nullptr && !target->suspect)
+        {
+            open.push_back(target);
+        }
+    }
+    return open.empty() ? home : open[tried % open.size()];
+}
+
 auto service_targets::size() const -> std::size_t
 {
     return targets_.size();
--- a/modules/routing/choice/service_targets.hpp
+++ b/modules/routing/choice/service_targets.hpp
@@ -16,6 +16,7 @@
     member_id id = 0;
     incarnation life = 0;
     endpoint address;
+    bool suspect = false;
 };
 
 // One service's agents as a balancer sends to them, rebuilt only when the
@@ -35,6 +36,12 @@
     // service has no server.
     auto home_of(const flow_key& flow) const -> const service_target*;
 
+    // Where a new flow starts to look for a server: the first of its order
+    // that is not suspect, or a later one when so many were tried before.
+    // nullptr when the service has no server.
+    auto place_of(const flow_key& flow, std::size_t tried) const
+        -> const service_target*;
+
     auto size() const -> std::size_t;
 
 private:
--- a/modules/routing/flows/held_packets.hpp
+++ b/modules/routing/flows/held_packets.hpp
@@ -2,17 +2,20 @@
 #define BRIARDRUM_ROUTING_FLOWS_HELD_PACKETS_HPP
 
 #include "core/core.hpp"
-#include "wire/wire.hpp"
 
 #include <functional>
+#include <utility>
 #include <vector>
 
 namespace briardrum
 {
 
-// Datagrams of flows that are being handed over, kept for the short time
-// until the new owner has acknowledged. Bounded per flow and in all; what
-// does not fit is dropped, and its caller retransmits.
+// Packets of flows whose next owner is not known yet, kept for the short time
+// until it is. Bounded per flow and in all; what does not fit is dropped, and
+// its sender retransmits.
+//
+// Message is a packet with a view named datagram, of which a copy is kept.
+template <typename Message>
 class held_packets
 {
 public:
@@ -20,18 +23,51 @@
     static constexpr std::size_t total_max = 4096;
 
     // Keeps a copy; false when there is no room.
-    auto hold(const flow_key& key, const envelope& message) -> bool;
+    auto hold(const flow_key& key, const Message& message) -> bool
+    {
+        if (total_ >= total_max)
+        {
+            return false;
+        }
+        auto& items = held_.insert(key);
+        if (items.size() >= per_flow_max)
+        {
+            return false;
+        }
+        items.push_back({message, to_buffer(message.datagram)});
+        ++total_;
+        return true;
+    }
 
     // Hands out and forgets what is held for a flow, in order of arrival.
     auto release(const flow_key& key,
-                 const std::function<void(const envelope&)>& take) -> void;
+                 const std::function<void(const Message&)>& take) -> void
+    {
+        auto* found = held_.find(key);
+        if (found == nullptr)
+        {
+            return;
+        }
+        const auto items = std::move(*found);
+        held_.erase(key);
+        total_ -= items.size();
+        for (const auto& it : items)
+        {
+            auto message = it.message;
+            message.datagram = it.datagram;
+            take(message);
+        }
+    }
 
-    auto size() const -> std::size_t;
+    auto size() const -> std::size_t
+    {
+        return total_;
+    }
 
 private:
     struct item
     {
-        envelope message;
+        Message message;
         byte_buffer datagram;
     };
 
