An upload uses a slot only once it is whole

Cause: a flow counted as under way at its server from its first payload packet, also while 80 kB were still arriving; three survey servers with three slots looked full (busy=6 of 3) at 40 uploads a second of 5 ms work each.

Ruled out: the queue's length and wait (same refusals), a request's head in a packet of its own (uploads begin with full packets).

--- a/modules/packets/agent/owned_flow.cpp
+++ b/modules/packets/agent/owned_flow.cpp
@@ -11,6 +11,8 @@
         return "waiting";
     case flow_phase::opening:
         return "opening";
+    case flow_phase::receiving:
+        return "receiving";
     case flow_phase::asking:
         return "asking";
     case flow_phase::idle:
--- a/modules/packets/agent/owned_flow.hpp
+++ b/modules/packets/agent/owned_flow.hpp
@@ -13,6 +13,8 @@
     waiting,
     // Its opening packet is at the server, its first request is to come.
     opening,
+    // A request of several packets is on its way; the server cannot begin.
+    receiving,
     // The server has a request and has not begun to answer.
     asking,
     // Open without a request under way.
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -396,10 +396,9 @@
     {
         row.caller_acknowledged = packet.acknowledged;
     }
-    if (packet.payload_bytes > 0 &&
-        (row.phase == flow_phase::opening || row.phase == flow_phase::idle))
+    if (packet.payload_bytes > 0)
     {
-        set_phase(now, row, flow_phase::asking);
+        note_request(now, row, packet);
     }
     row.caller_closed = row.caller_closed || packet.closes;
     hooks_.send_to_server(packet);
@@ -410,6 +409,24 @@
     }
 }
 
+// While full packets come, more of the request follows: the server works from
+// the last one on, which is not full.
+auto packet_agent::note_request(millis now, owned_flow& row,
+                                const flow_packet& packet) -> void
+{
+    const auto more = packet.payload_bytes >= settings_.full_payload_bytes;
+    const auto phase = more ? flow_phase::receiving : flow_phase::asking;
+    if (row.phase == phase || row.phase == flow_phase::probing)
+    {
+        return;
+    }
+    set_phase(now, row, phase);
+    if (more)
+    {
+        start_waiting(now);
+    }
+}
+
 auto packet_agent::relay(const endpoint& from, const flow_packet& packet,
                          const redirect_table::row& to) -> bool
 {
@@ -587,6 +604,10 @@
     row.confirmed = true;
     row.server_closed = row.server_closed || packet.closes;
     const auto answers = packet.payload_bytes > 0 || packet.closes;
+    if (answers && row.phase == flow_phase::receiving)
+    {
+        set_phase(now, row, flow_phase::idle);
+    }
     if (answers && row.phase == flow_phase::asking)
     {
         set_phase(now, row, flow_phase::idle);
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -18,6 +18,8 @@
     std::string service_name;
     millis heartbeat_interval = seconds(1);
     admission_settings admission;
+    // Payload of a packet that more of the same request follows.
+    std::uint16_t full_payload_bytes = 1200;
     // How long a flow may live, and so how long after its own start an agent
     // must reckon with flows that it never saw.
     millis flow_lifetime = seconds(60);
@@ -99,6 +101,8 @@
                       const flow_packet& packet) -> void;
     auto deliver(millis now, const flow_key& flow, owned_flow& row,
                  const flow_packet& packet) -> void;
+    auto note_request(millis now, owned_flow& row, const flow_packet& packet)
+        -> void;
     auto relay(const endpoint& from, const flow_packet& packet,
                const redirect_table::row& to) -> bool;
     auto probe_server(millis now, const flow_packet& packet) -> void;
