After a start in common members find each other at once; late flows wait behind fresh ones

Cause: after a power loss the first packet was served 0.35 s after the first agents were ready: nobody knew anybody until the seeds, which may be the last to start, were up. And the queue of an agent after a restart had no estimate of its wait (expected_ms=0), so that one agent took 40 flows and its peers none.

Change: balancers publish their address in the store and all read it while they are alone (a stale read, a tenth of the price); asks go to four addresses every 50 ms while alone; gossip rounds of 50 ms (silent while nothing changes); an agent is ready from its start, since it passes flows on until its server is known. Flows that waited over 60 ms stand behind fresh ones and take only idle slots; a flow that every agent has denied twice is reset; a flow whose caller does not come back gives its slot back after 60 ms.

--- a/bench/measures.hpp
+++ b/bench/measures.hpp
@@ -25,6 +25,7 @@
 auto add_forward(CLI::App& app) -> measure;
 auto add_flood(CLI::App& app) -> measure;
 auto add_gossip(CLI::App& app) -> measure;
+auto add_queueing(CLI::App& app) -> measure;
 
 } // namespace briardrum::bench
 
--- /dev/null
+++ b/bench/rig/packets/packet_server.hpp
@@ -0,0 +1,83 @@
+#ifndef BRIARDRUM_BENCH_RIG_PACKETS_PACKET_SERVER_HPP
+#define BRIARDRUM_BENCH_RIG_PACKETS_PACKET_SERVER_HPP
+
+#include "bench/rig/event_queue.hpp"
+#include "packets/packets.hpp"
+
+#include <deque>
+#include <functional>
+
+namespace briardrum::rig
+{
+
+// How fake backend servers behave.
+struct server_model
+{
+    // Requests that wait inside the server; more are refused at once.
+    std::size_t queue_max = 20;
+    // A started server works slower by this factor for so long.
+    double cold_factor = 1.6;
+    millis cold_time = seconds(2);
+};
+
+struct packet_server_hooks
+{
+    // Hands a packet to the agent beside the server.
+    std::function<void(const flow_packet&)> send;
+    // How long the flow's request takes on a warm server.
+    std::function<millis(const flow_key&)> work_of;
+    // A request began to run, ended, or was refused unrun.
+    std::function<void(const flow_key&)> started;
+    std::function<void(const flow_key&)> refused;
+};
+
+// A backend server of packet flows: slots, a queue in front of them, a cold
+// start. A packet with a payload is a whole request; its flow closes with the
+// answer.
+class packet_server
+{
+public:
+    packet_server(event_queue& events, server_model model, std::uint32_t slots,
+                  packet_server_hooks hooks);
+
+    auto on_packet(const flow_packet& packet) -> void;
+
+    // Starts anew, or is gone without a word.
+    auto start() -> void;
+    auto lose() -> void;
+    auto set_slowness(double factor) -> void;
+
+    auto is_up() const -> bool;
+    auto holds(const flow_key& flow) const -> bool;
+    auto runs() const -> std::uint64_t;
+    auto slots() const -> std::uint32_t;
+
+    // Heartbeats: the incarnation, its next sequence, and whether it leaves.
+    auto next_heartbeat() -> server_heartbeat;
+    auto drain() -> void;
+
+private:
+    auto answer(const flow_packet& packet, bool opens, std::uint16_t payload)
+        -> void;
+    auto run(const flow_packet& request) -> void;
+    auto finish(const flow_packet& request, std::uint64_t life) -> void;
+
+    event_queue& events_;
+    server_model model_;
+    std::uint32_t slots_;
+    packet_server_hooks hooks_;
+    table<flow_key, bool> flows_;
+    std::deque<flow_packet> queue_;
+    std::uint32_t running_ = 0;
+    std::uint64_t life_ = 0;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t runs_ = 0;
+    millis started_at_;
+    double slowness_ = 1;
+    bool up_ = false;
+    bool draining_ = false;
+};
+
+} // namespace briardrum::rig
+
+#endif
--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -22,9 +22,11 @@
 
 packet_agent_daemon::packet_agent_daemon(
     const packet_process_settings& settings, packet_format format,
-    server_protocol protocol)
+    server_protocol protocol, const open_store& open)
     : settings_(settings), process_(settings, std::move(format)),
-      protocol_(std::move(protocol)), from_server_(process_.context()),
+      protocol_(std::move(protocol)),
+      store_(open(process_.context(), process_.events())),
+      from_server_(process_.context()),
       heartbeats_(process_.context(),
                   [this](const http_request& request)
                   {
@@ -67,6 +69,7 @@
                               });
     };
     from_server_.start(std::move(hooks));
+    process_.use_directory(*store_);
     return process_.start(make_hooks());
 }
 
@@ -161,6 +164,7 @@
     out.counter("flows_queued_total", it.queued);
     out.counter("flows_refused_total", it.refused);
     out.counter("flows_reset_total", it.reset);
+    out.counter("flows_unanswered_total", it.unanswered);
     out.counter("packets_relayed_total", it.relayed);
     out.counter("searches_total", it.searched);
     out.counter("searches_found_total", it.found);
--- a/modules/io/daemons/packet_agent_daemon.hpp
+++ b/modules/io/daemons/packet_agent_daemon.hpp
@@ -30,7 +30,8 @@
 {
 public:
     packet_agent_daemon(const packet_process_settings& settings,
-                        packet_format format, server_protocol protocol);
+                        packet_format format, server_protocol protocol,
+                        const open_store& open);
 
     auto start() -> absl::Status;
     auto run() -> int;
@@ -45,6 +46,7 @@
     packet_process_settings settings_;
     packet_process process_;
     server_protocol protocol_;
+    std::unique_ptr<store> store_;
     udp_socket from_server_;
     http_server heartbeats_;
     packet_agent core_;
--- a/modules/io/daemons/packet_balancer_daemon.cpp
+++ b/modules/io/daemons/packet_balancer_daemon.cpp
@@ -23,6 +23,7 @@
 
 auto packet_balancer_daemon::start() -> absl::Status
 {
+    process_.use_directory(*store_);
     return process_.start(make_hooks());
 }
 
--- a/modules/io/daemons/packet_balancer_daemon.hpp
+++ b/modules/io/daemons/packet_balancer_daemon.hpp
@@ -12,8 +12,7 @@
 // What the balancer for packet flows reads from the store, and how.
 struct packet_balancer_store
 {
-    // Makes the store's client on the process's event loop.
-    std::function<std::unique_ptr<store>(asio::io_context&, event_sink)> open;
+    open_store open;
     // The key of the operators' newest configuration.
     std::string configuration_key;
     std::function<absl::StatusOr<route_table>(const std::string&)>
--- a/modules/io/daemons/packet_process.cpp
+++ b/modules/io/daemons/packet_process.cpp
@@ -10,7 +10,10 @@
 namespace
 {
 
-constexpr millis member_tick_interval = milliseconds(100);
+constexpr millis member_tick_interval = milliseconds(50);
+// After a start in common every packet waits for the first news of agents;
+// nothing is sent while nothing changes.
+constexpr millis gossip_interval = milliseconds(50);
 constexpr millis leave_linger = milliseconds(200);
 // Balancers only tick; agents have queues to look after.
 constexpr millis balancer_tick_interval = milliseconds(50);
@@ -21,7 +24,8 @@
 constexpr std::size_t records_per_datagram = 10;
 // Every packet waits until the first member is known; answers that came that
 // early are not enough, so more are asked for.
-constexpr millis join_interval_alone = milliseconds(100);
+constexpr millis join_interval_alone = milliseconds(50);
+constexpr std::uint32_t join_asks_alone = 4;
 constexpr std::uint32_t join_answers = 5;
 
 auto loop_settings_of(const packet_process_settings& settings)
@@ -42,7 +46,9 @@
 {
     membership_settings out;
     out.records_per_message = records_per_round;
+    out.gossip_interval = gossip_interval;
     out.join_interval_alone = join_interval_alone;
+    out.join_asks_alone = join_asks_alone;
     out.join_answers = join_answers;
     return out;
 }
@@ -75,8 +81,8 @@
     out.id = member_id_of(settings_.name);
     out.life = static_cast<incarnation>(clock::wall().count);
     out.kind = settings_.kind;
-    out.state = settings_.kind == member_kind::agent ? member_state::joining
-                                                     : member_state::ready;
+    // An agent without a server yet passes flows on: it may be sent any.
+    out.state = member_state::ready;
     out.name = settings_.name;
     out.data_centre = settings_.data_centre;
     out.data_address = settings_.packets;
@@ -146,12 +152,31 @@
     return code;
 }
 
+auto packet_process::use_directory(store& in) -> void
+{
+    member_directory_settings settings;
+    settings.own_name = settings_.name;
+    settings.own_address = settings_.members;
+    settings.publishes = settings_.kind == member_kind::balancer;
+    directory_ = std::make_unique<member_directory>(
+        in, std::move(settings),
+        member_directory_hooks{[this](std::span<const endpoint> found)
+                               {
+                                   members_.add_start_addresses(found);
+                               },
+                               loop_.log().sink()});
+}
+
 auto packet_process::tick(millis now) -> void
 {
     if (now >= next_member_tick_)
     {
         next_member_tick_ = now + member_tick_interval;
         members_.tick(now);
+        if (directory_ != nullptr && !loop_.is_stopping())
+        {
+            directory_->tick(now, members_.is_alone());
+        }
     }
     hooks_.loop.on_tick(now);
     const auto ready = hooks_.is_ready();
@@ -286,12 +311,6 @@
     return out.text();
 }
 
-auto packet_process::add_start_addresses(std::span<const endpoint> found)
-    -> void
-{
-    members_.add_start_addresses(found);
-}
-
 auto packet_process::context() -> asio::io_context&
 {
     return loop_.context();
--- a/modules/io/daemons/packet_process.hpp
+++ b/modules/io/daemons/packet_process.hpp
@@ -8,11 +8,18 @@
 #include "io/http/metrics_text.hpp"
 #include "io/udp/udp_socket.hpp"
 #include "membership/membership.hpp"
+#include "node/store/member_directory.hpp"
 #include "packets/packets.hpp"
 
+#include <memory>
+
 namespace briardrum
 {
 
+// Makes the store's client on a process's event loop.
+using open_store =
+    std::function<std::unique_ptr<store>(asio::io_context&, event_sink)>;
+
 // What a daemon adds to its packet_process.
 struct packet_process_hooks
 {
@@ -49,10 +56,11 @@
     // needs besides.
     auto make_packet_hooks() -> packet_hooks;
 
-    // Adds members to start from, as found in the store.
-    auto add_start_addresses(std::span<const endpoint> found) -> void;
+    // Looks for members in the store too, and, as a balancer, stands there.
+    auto use_directory(store& in) -> void;
 
-    // An open UDP socket like the packet socket, for another address.
+    // Reads one datagram and hands it on; a malformed one is counted and
+    // logged.
     auto read_packets(
         byte_view bytes, const endpoint& from,
         const std::function<void(const endpoint&, const flow_packet&)>& take)
@@ -76,6 +84,7 @@
     udp_socket control_;
     http_server http_;
     member_view members_;
+    std::unique_ptr<member_directory> directory_;
     packet_process_hooks hooks_;
     std::uint64_t bad_packets_ = 0;
     std::uint64_t bad_control_ = 0;
--- a/modules/membership/member_view.cpp
+++ b/modules/membership/member_view.cpp
@@ -393,8 +393,12 @@
     {
         return;
     }
-    asked_ = gossiper_.ask_for_all();
-    const auto alone = members_.live().size() <= 1;
+    const auto alone = is_alone();
+    const auto asks = alone ? settings_.join_asks_alone : 1;
+    for (std::uint32_t n = 0; n < asks; ++n)
+    {
+        asked_ = gossiper_.ask_for_all();
+    }
     next_join_ =
         now + (alone ? settings_.join_interval_alone : settings_.join_interval);
 }
@@ -408,6 +412,11 @@
     }
 }
 
+auto member_view::is_alone() const -> bool
+{
+    return members_.live().size() <= 1;
+}
+
 auto member_view::has_synchronised() const -> bool
 {
     return answers_ >= settings_.join_answers;
--- a/modules/membership/member_view.hpp
+++ b/modules/membership/member_view.hpp
@@ -75,6 +75,9 @@
     // True once enough other members told this newcomer all they know.
     auto has_synchronised() const -> bool;
 
+    // True while no other live member is known.
+    auto is_alone() const -> bool;
+
     // True when nothing was heard from any other member for a while.
     auto is_isolated(millis now) const -> bool;
 
--- /dev/null
+++ b/modules/node/store/member_directory.cpp
@@ -0,0 +1,148 @@
+#include "node/store/member_directory.hpp"
+
+#include <utility>
+
+namespace briardrum
+{
+
+member_directory::member_directory(store& in,
+                                   member_directory_settings settings,
+                                   member_directory_hooks hooks)
+    : store_(in), settings_(std::move(settings)), hooks_(std::move(hooks))
+{
+}
+
+member_directory::~member_directory()
+{
+    *alive_ = false;
+}
+
+auto member_directory::own_key() const -> std::string
+{
+    return settings_.prefix + settings_.own_name;
+}
+
+auto member_directory::tick(millis now, bool alone) -> void
+{
+    if (now < next_read_ || reading_ || writing_)
+    {
+        return;
+    }
+    next_read_ = now + settings_.retry_interval;
+    if (!was_read_ || alone)
+    {
+        read();
+    }
+    else if (settings_.publishes && !published_)
+    {
+        publish();
+    }
+}
+
+auto member_directory::read() -> void
+{
+    reading_ = true;
+    store_range request;
+    request.key = settings_.prefix;
+    request.range_end = prefix_end(settings_.prefix);
+    request.stale_ok = true;
+    store_.range(
+        request,
+        [this, alive = alive_](const absl::StatusOr<store_range_result>& result)
+        {
+            if (*alive)
+            {
+                on_range(result);
+            }
+        });
+}
+
+auto member_directory::on_range(
+    const absl::StatusOr<store_range_result>& result) -> void
+{
+    reading_ = false;
+    if (!result.ok())
+    {
+        note_failure("read", result.status());
+        return;
+    }
+    was_read_ = true;
+    std::vector<endpoint> addresses;
+    for (const auto& it : result->values)
+    {
+        const auto address = parse_endpoint(it.value);
+        if (!address.ok())
+        {
+            note_failure("read " + it.key, address.status());
+            continue;
+        }
+        if (it.key == own_key())
+        {
+            published_ = *address == settings_.own_address;
+            continue;
+        }
+        addresses.push_back(*address);
+    }
+    hooks_.found(addresses);
+    if (settings_.publishes && !published_)
+    {
+        publish();
+    }
+}
+
+// Written without a condition: only this member writes its key, and writing
+// the same again after a lost answer does no harm.
+auto member_directory::publish() -> void
+{
+    writing_ = true;
+    store_transaction request;
+    request.writes.push_back(
+        {own_key(), to_string(settings_.own_address), false, 0});
+    store_.commit(request,
+                  [this, alive = alive_](
+                      const absl::StatusOr<store_commit_result>& result)
+                  {
+                      if (!*alive)
+                      {
+                          return;
+                      }
+                      writing_ = false;
+                      published_ = result.ok();
+                      if (!result.ok())
+                      {
+                          note_failure("write", result.status());
+                      }
+                  });
+}
+
+auto member_directory::leave() -> void
+{
+    if (!settings_.publishes)
+    {
+        return;
+    }
+    store_transaction request;
+    request.writes.push_back({own_key(), "", true, 0});
+    store_.commit(request,
+                  [this, alive = alive_](
+                      const absl::StatusOr<store_commit_result>& result)
+                  {
+                      if (*alive && !result.ok())
+                      {
+                          note_failure("remove", result.status());
+                      }
+                  });
+}
+
+auto member_directory::note_failure(std::string_view what,
+                                    const absl::Status& why) -> void
+{
+    if (hooks_.events)
+    {
+        hooks_.events(event("member_directory_failed", event_level::warning)
+                          .with("call", what)
+                          .with("why", std::string(why.message())));
+    }
+}
+
+} // namespace briardrum
--- a/modules/node/store/store.hpp
+++ b/modules/node/store/store.hpp
@@ -37,6 +37,8 @@
     std::int64_t limit = 0;
     // The state to read; 0 means the newest.
     store_revision revision = 0;
+    // An answer that is seconds old will do; it costs the store less.
+    bool stale_ok = false;
 };
 
 struct store_range_result
--- a/modules/packets/agent/agent_tallies.hpp
+++ b/modules/packets/agent/agent_tallies.hpp
@@ -15,6 +15,7 @@
     std::uint64_t queued = 0;
     std::uint64_t refused = 0;
     std::uint64_t reset = 0;
+    std::uint64_t unanswered = 0;
     std::uint64_t relayed = 0;
     std::uint64_t searched = 0;
     std::uint64_t found = 0;
--- a/modules/packets/agent/flow_admission.cpp
+++ b/modules/packets/agent/flow_admission.cpp
@@ -16,7 +16,8 @@
 } // namespace
 
 flow_admission::flow_admission(admission_settings settings)
-    : settings_(settings)
+    : settings_(settings),
+      slot_time_us_(settings.slot_time_first.count * microseconds_per_milli)
 {
 }
 
@@ -40,9 +41,7 @@
         return;
     }
     const auto sample = used_for->count * microseconds_per_milli;
-    slot_time_us_ += slot_time_us_ == 0
-                         ? sample
-                         : (sample - slot_time_us_) / slot_time_smoothing;
+    slot_time_us_ += (sample - slot_time_us_) / slot_time_smoothing;
 }
 
 auto flow_admission::has_room(std::uint32_t allowance) const -> bool
@@ -55,25 +54,49 @@
     return waiting_.empty() && has_room(settings_.allowance_offered);
 }
 
-auto flow_admission::settle() const -> admission_verdict
+auto flow_admission::settle(millis now, millis asked_at) const
+    -> admission_verdict
 {
     if (waiting_.empty() && has_room(settings_.allowance_settled))
     {
         return admission_verdict::start;
     }
-    const auto full =
-        waiting_.size() >= std::size_t{slots_} * settings_.waiting_per_slot;
-    if (full || expected_wait() > settings_.wait_max)
-    {
-        return admission_verdict::refuse;
-    }
-    return admission_verdict::wait;
+    const auto waits_in_time =
+        is_fresh(now, asked_at) && expected_wait() <= settings_.fresh_time;
+    const auto room = std::size_t{slots_} * settings_.late_per_slot;
+    const auto lasts =
+        !waiting_.empty() && now - empty_at_ > settings_.standing_time;
+    const auto may_wait_late = !lasts && waiting_.size() < room;
+    return waits_in_time || may_wait_late ? admission_verdict::wait
+                                          : admission_verdict::refuse;
 }
 
 auto flow_admission::push(millis now, const flow_key& flow,
-                          std::uint8_t urgency) -> void
+                          std::uint8_t urgency, millis asked_at) -> void
+{
+    empty_at_ = waiting_.empty() ? now : empty_at_;
+    waiting_.push_back({flow, urgency, asked_at});
+}
+
+auto flow_admission::is_fresh(millis now, millis asked_at) const -> bool
 {
-    waiting_.push_back({flow, urgency, now});
+    return now - asked_at <= settings_.fresh_time;
+}
+
+auto flow_admission::goes_before(millis now, const waiting_flow& a,
+                                 const waiting_flow& b) const -> bool
+{
+    const auto a_fresh = is_fresh(now, a.asked_at);
+    const auto b_fresh = is_fresh(now, b.asked_at);
+    if (a_fresh != b_fresh)
+    {
+        return a_fresh;
+    }
+    if (a.urgency != b.urgency)
+    {
+        return a.urgency < b.urgency;
+    }
+    return a_fresh ? a.asked_at < b.asked_at : a.asked_at > b.asked_at;
 }
 
 auto flow_admission::pop(millis now) -> std::optional<flow_key>
@@ -82,14 +105,17 @@
     {
         return std::nullopt;
     }
-    const auto newest_first =
-        now - waiting_.front().since > settings_.newest_first_after;
     auto best = waiting_.begin();
     for (auto it = waiting_.begin(); it != waiting_.end(); ++it)
     {
-        const auto better = newest_first ? it->urgency <= best->urgency
-                                         : it->urgency < best->urgency;
-        best = better ? it : best;
+        best = goes_before(now, *it, *best) ? it : best;
+    }
+    // Late flows take only slots that stand idle, so that the server's own
+    // queue is kept for fresh ones.
+    if (!is_fresh(now, best->asked_at) &&
+        !has_room(settings_.allowance_offered))
+    {
+        return std::nullopt;
     }
     const auto flow = best->flow;
     waiting_.erase(best);
@@ -102,7 +128,7 @@
     std::erase_if(waiting_,
                   [&](const waiting_flow& it)
                   {
-                      const auto over = now - it.since > settings_.wait_max;
+                      const auto over = now - it.asked_at > settings_.late_time;
                       if (over)
                       {
                           out.push_back(it.flow);
--- a/modules/packets/agent/flow_admission.hpp
+++ b/modules/packets/agent/flow_admission.hpp
@@ -18,14 +18,22 @@
     std::uint32_t allowance_offered = 1;
     // The same once no agent with a free slot was found.
     std::uint32_t allowance_settled = 3;
-    // How long an opening packet may wait here. A caller whose flow is refused
-    // tries again at once, and does so sooner than its next copy would come.
-    millis wait_max = milliseconds(300);
-    // When the longest wait is over this, the newest goes first: the oldest
-    // would be late anyway, and all would be late in turn.
-    millis newest_first_after = milliseconds(60);
-    // Opening packets that may wait for each slot, whatever the estimate.
-    std::uint32_t waiting_per_slot = 8;
+    // A flow that waited no longer than this can still be answered in time: the
+    // rest of the users' shortest latency objective, 120 ms, is work.
+    millis fresh_time = milliseconds(60);
+    // Flows older than that wait behind all fresh ones for so long. A caller
+    // gives up an opening packet after 1.4 s; its answer still has to reach it.
+    millis late_time = milliseconds(1200);
+    // Flows that wait late for each slot. More could not be served before
+    // their callers give up, at the 40 ms a request takes.
+    std::uint32_t late_per_slot = 8;
+    // Flows wait late to get over a short peak. When some have waited for all
+    // this time, the longest of the users' shorter deadlines, the overload
+    // lasts: further ones are refused at once until none waits.
+    millis standing_time = seconds(2);
+    // How long a flow uses a slot, until the server has shown it: the mean work
+    // of the users' most frequent requests.
+    millis slot_time_first = milliseconds(40);
 };
 
 // What becomes of an opening packet.
@@ -38,10 +46,11 @@
 
 // Who goes to the backend server, who waits and who is refused.
 //
-// Bounded concurrency with a short queue in front, adaptive LIFO under
-// overload, and refusal at once when the estimated wait is too long (the
-// patterns known from CoDel and from concurrency limits). A slow or cold
-// server frees its slots later, and so is given less.
+// Bounded concurrency with two queues in front: flows that can still be
+// answered in time go first, by urgency and then in order of arrival; those
+// that cannot wait behind them, newest first (adaptive LIFO), until their
+// caller is about to give up. What cannot be served before that is refused at
+// once. A slow or cold server frees its slots later, and so is given less.
 class flow_admission
 {
 public:
@@ -57,9 +66,12 @@
     auto has_free_slot() const -> bool;
 
     // What to do with an opening packet that has found no free slot elsewhere.
-    auto settle() const -> admission_verdict;
+    auto settle(millis now, millis asked_at) const -> admission_verdict;
 
-    auto push(millis now, const flow_key& flow, std::uint8_t urgency) -> void;
+    // asked_at is when the caller first sent the opening packet, as far as
+    // known.
+    auto push(millis now, const flow_key& flow, std::uint8_t urgency,
+              millis asked_at) -> void;
 
     // The flow to start next, when the server can take one.
     auto pop(millis now) -> std::optional<flow_key>;
@@ -83,18 +95,23 @@
     {
         flow_key flow;
         std::uint8_t urgency = 0;
-        millis since;
+        millis asked_at;
     };
 
     auto has_room(std::uint32_t allowance) const -> bool;
+    auto is_fresh(millis now, millis asked_at) const -> bool;
+    auto goes_before(millis now, const waiting_flow& a,
+                     const waiting_flow& b) const -> bool;
 
     admission_settings settings_;
     std::uint32_t slots_ = 1;
     std::uint32_t busy_ = 0;
     // Smoothed time that a flow uses a slot, in microseconds.
-    std::int64_t slot_time_us_ = 0;
+    std::int64_t slot_time_us_;
     // In order of arrival.
     std::vector<waiting_flow> waiting_;
+    // When the queue was last found empty.
+    millis empty_at_;
 };
 
 } // namespace briardrum
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -1,6 +1,7 @@
 #include "packets/agent/packet_agent.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace briardrum
@@ -12,14 +13,20 @@
 // A search's answers come within two hops between data centres. Afterwards
 // the caller's next retransmission searches again.
 constexpr millis search_time = milliseconds(100);
-// A caller gives up an unanswered opening packet after 1.4 s.
-constexpr millis opening_time_max = milliseconds(1500);
+// Callers retransmit after 200 ms; a search before that is the same packet's.
+constexpr millis orphan_confirm_after = milliseconds(150);
+// Longer than the retransmission interval at its longest, 1.6 s.
+constexpr millis orphan_kept = seconds(3);
+// A caller answers an open flow within two trips and some processing; one that
+// is gone must not hold a slot. A later packet takes a slot again.
+constexpr millis opening_time_max = milliseconds(60);
 // Longer than any request's deadline: the caller is gone, the slot is free.
 constexpr millis asking_time_max = seconds(8);
 // A closed flow's last packets are retransmitted for about so long; a probed
 // flow that is not the server's was returned long before.
 constexpr millis closed_linger = seconds(2);
-constexpr millis expiry_interval = milliseconds(250);
+constexpr millis expiry_interval = milliseconds(20);
+constexpr millis table_expiry_interval = seconds(1);
 // A repeated opening packet is handed to the server again when the first had
 // this long to be answered.
 constexpr millis opening_repeat_after = milliseconds(100);
@@ -31,6 +38,18 @@
     return phase == flow_phase::opening || phase == flow_phase::asking;
 }
 
+// When the caller first sent this opening packet: copies follow at known times,
+// and a packet that other agents held tells for how long.
+auto asked_at(millis now, const flow_packet& opening) -> millis
+{
+    constexpr millis copy_ages[] = {milliseconds(0), milliseconds(200),
+                                    milliseconds(600)};
+    const auto copies =
+        std::min<std::size_t>(opening.copies_before, std::size(copy_ages) - 1);
+    const auto held = milliseconds(opening.label.waited_ms);
+    return now - std::max(copy_ages[copies], held);
+}
+
 auto as_count(millis span) -> std::uint64_t
 {
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, span.count));
@@ -85,6 +104,10 @@
     {
         on_owned(now, from, packet);
     }
+    else if (packet.label.kind == label_kind::unowned)
+    {
+        on_unowned(now, from, packet);
+    }
     else if (packet.opens)
     {
         on_opening(now, from, packet);
@@ -223,7 +246,7 @@
         emit(log_flow("flow_dropped", flow).with("reason", "server_gone"));
         return;
     }
-    switch (admission_.settle())
+    switch (admission_.settle(now, asked_at(now, packet)))
     {
     case admission_verdict::start:
         start(now, packet);
@@ -241,7 +264,7 @@
 {
     const auto flow = flow_from_caller(packet);
     auto& row = add_flow(now, packet, flow_phase::waiting);
-    admission_.push(now, flow, packet.label.urgency);
+    admission_.push(now, flow, packet.label.urgency, asked_at(now, packet));
     ++tallies_.queued;
     emit(log_flow("flow_waits", flow)
              .with("expected_ms", as_count(admission_.expected_wait()))
@@ -305,6 +328,8 @@
         const auto bytes = row->opening_bytes;
         packet.datagram = bytes;
         packet.label.best_wait = packet_label::best_wait_max;
+        packet.label.waited_ms = static_cast<std::uint16_t>(
+            packet.label.waited_ms + as_count(now - row->phase_since));
         remove_flow(now, flow);
         offer_on(now, packet);
     }
@@ -349,10 +374,7 @@
         if (packet.label.kind == label_kind::locate &&
             row->phase != flow_phase::probing)
         {
-            packet_label label;
-            label.kind = label_kind::owned;
-            label.service = tag_;
-            hooks_.send_notice(from, row->caller, row->route, label);
+            answer_locate(from, packet, label_kind::owned);
         }
         deliver(now, flow, *row, packet);
         return;
@@ -363,6 +385,10 @@
         {
             probe_server(now, packet);
         }
+        else
+        {
+            answer_locate(from, packet, label_kind::unowned);
+        }
         return;
     }
     const auto* owner = redirects_.use(now, flow);
@@ -474,21 +500,22 @@
         }
         return;
     }
-    searches_.insert(flow, {now, false});
+    auto& row = searches_.insert(flow);
+    row.since = now;
+    row.acknowledged = packet.acknowledged;
     ++tallies_.searched;
     auto label = packet.label;
     label.kind = label_kind::locate;
     label.service = tag_;
-    std::uint64_t asked = 0;
     for (const auto id : members_.agents_of(server_.service_name()))
     {
         if (id != members_.self().id)
         {
-            asked += send_to(id, packet, label) ? 1 : 0;
+            row.asked += send_to(id, packet, label) ? 1 : 0;
         }
     }
     emit(log_flow("owner_searched", flow)
-             .with("asked", asked)
+             .with("asked", std::uint64_t{row.asked})
              .with("hops", std::uint64_t{packet.label.hops}));
 }
 
@@ -516,6 +543,61 @@
                   });
 }
 
+auto packet_agent::answer_locate(const endpoint& from,
+                                 const flow_packet& packet, label_kind kind)
+    -> void
+{
+    packet_label label;
+    label.kind = kind;
+    label.service = tag_;
+    hooks_.send_notice(from, packet.source, packet.destination, label);
+}
+
+// Once every agent of the service has denied a flow, twice with a
+// retransmission between, its server is gone: the caller is told at once.
+auto packet_agent::on_unowned(millis now, const endpoint& from,
+                              const flow_packet& notice) -> void
+{
+    const auto flow = flow_from_caller(notice);
+    auto* row = searches_.find(flow);
+    if (row == nullptr || row->found)
+    {
+        return;
+    }
+    auto& denied = row->denied_by;
+    if (std::find(denied.begin(), denied.end(), from.address) == denied.end())
+    {
+        denied.push_back(from.address);
+    }
+    if (denied.size() < row->asked || is_uncertain(now) ||
+        !members_.has_synchronised())
+    {
+        return;
+    }
+    auto& lost = orphans_.insert(flow, {now});
+    lost.acknowledged = row->acknowledged;
+    if (now - lost.since < orphan_confirm_after)
+    {
+        return;
+    }
+    ++tallies_.reset;
+    emit(log_flow("flow_reset", flow)
+             .with("reason", "held_by_no_server")
+             .with("denied_by", std::uint64_t{denied.size()})
+             .with("first_denied_ms", as_count(now - lost.since)));
+    hooks_.send_reset(notice.destination, notice.source, lost.acknowledged);
+    orphans_.erase(flow);
+}
+
+auto packet_agent::forget_orphans(millis now) -> void
+{
+    orphans_.erase_if(
+        [&](const flow_key&, const orphan& it)
+        {
+            return now - it.since > orphan_kept;
+        });
+}
+
 auto packet_agent::end_searches(millis now) -> void
 {
     std::vector<flow_key> over;
@@ -765,15 +847,8 @@
 auto packet_agent::update_own_record(millis now) -> void
 {
     const auto& own = members_.self();
-    auto state = member_state::joining;
-    if (draining_ || server_.is_draining())
-    {
-        state = member_state::draining;
-    }
-    else if (server_.is_known())
-    {
-        state = member_state::ready;
-    }
+    const auto leaves = draining_ || server_.is_draining();
+    const auto state = leaves ? member_state::draining : member_state::ready;
     if (own.service_name != server_.service_name())
     {
         members_.set_service(now, server_.service_name());
@@ -907,6 +982,7 @@
             (row.phase == flow_phase::asking && phase_time > asking_time_max);
         if (stuck)
         {
+            ++tallies_.unanswered;
             emit(log_flow("flow_unanswered", flow)
                      .with("phase", to_string(row.phase))
                      .with("since_ms", as_count(phase_time)));
@@ -927,7 +1003,12 @@
     {
         remove_flow(now, flow);
     }
-    redirects_.expire(now, settings_.flow_lifetime);
+    if (now >= next_table_expiry_)
+    {
+        next_table_expiry_ = now + table_expiry_interval;
+        redirects_.expire(now, settings_.flow_lifetime);
+        forget_orphans(now);
+    }
 }
 
 // Flows may be open at the server that this agent never saw.
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -78,6 +78,20 @@
     {
         millis since;
         bool found = false;
+        // Agents that were asked, and those of them that do not hold the flow.
+        std::size_t asked = 0;
+        std::vector<std::uint32_t> denied_by;
+        // Up to where the caller has received.
+        std::uint32_t acknowledged = 0;
+    };
+
+    // A flow of which every agent of the service said that it does not hold
+    // it, and when first.
+    struct orphan
+    {
+        millis since;
+        // Up to where its caller has received.
+        std::uint32_t acknowledged = 0;
     };
 
     // Opening packets.
@@ -109,6 +123,8 @@
     auto look_for_owner(millis now, const flow_packet& packet) -> void;
     auto on_owned(millis now, const endpoint& from, const flow_packet& notice)
         -> void;
+    auto on_unowned(millis now, const endpoint& from, const flow_packet& notice)
+        -> void;
     auto end_searches(millis now) -> void;
 
     // The server's packets.
@@ -125,10 +141,13 @@
     auto add_flow(millis now, const flow_packet& packet, flow_phase phase)
         -> owned_flow&;
     auto remove_flow(millis now, const flow_key& flow) -> void;
+    auto answer_locate(const endpoint& from, const flow_packet& packet,
+                       label_kind kind) -> void;
     auto tell_owner(const flow_key& flow, owned_flow& row) -> void;
     auto retell_moved_homes() -> void;
     auto drop_server_flows(millis now) -> void;
     auto expire_flows(millis now) -> void;
+    auto forget_orphans(millis now) -> void;
     auto is_uncertain(millis now) const -> bool;
 
     // Members.
@@ -152,10 +171,12 @@
     redirect_table redirects_;
     held_packets<flow_packet> held_;
     table<flow_key, search> searches_;
+    table<flow_key, orphan> orphans_;
     agent_tallies tallies_;
     bool draining_ = false;
     std::uint64_t told_epoch_ = 0;
     millis next_expiry_;
+    millis next_table_expiry_;
 };
 
 } // namespace briardrum
--- a/modules/packets/model/packet_label.cpp
+++ b/modules/packets/model/packet_label.cpp
@@ -24,9 +24,11 @@
     case label_kind::owned:
         return "owned";
     case label_kind::hint:
+        return "hint";
+    case label_kind::unowned:
         break;
     }
-    return "hint";
+    return "unowned";
 }
 
 auto service_tag_of(std::string_view service_name) -> service_tag
--- a/modules/packets/model/packet_label.hpp
+++ b/modules/packets/model/packet_label.hpp
@@ -29,10 +29,13 @@
     owned = 6,
     // Without a payload, from an agent to a balancer: who owns the flow.
     hint = 7,
+    // Without a payload, in answer to locate: the sender is sure that neither
+    // it nor its server holds the flow.
+    unowned = 8,
 };
 
 constexpr std::uint8_t label_kind_last =
-    static_cast<std::uint8_t>(label_kind::hint);
+    static_cast<std::uint8_t>(label_kind::unowned);
 
 auto to_string(label_kind kind) -> std::string_view;
 
