No reset for a flow that a copy may have opened elsewhere; urgent flows are not held up by late ones

When the first agent held the flow in its queue and then refused it, its reset broke the flow that the caller had opened through the copy.

Change: the first three of the order are told of a flow (home, and where copies begin); what waited to the end is dropped without a reset, since its caller gives up within 200 ms; a later copy that cannot be kept is dropped. The wait that decides over a refusal counts only flows that go before.

--- a/bench/rig/packets/packet_caller.cpp
+++ b/bench/rig/packets/packet_caller.cpp
@@ -79,16 +79,16 @@
     auto& next = next_ms_[load];
     next = std::max(next, static_cast<double>(events_.now().count)) -
            std::log(1 - random_.unit()) * mean_ms;
-    events_.at(
-        milliseconds(static_cast<std::int64_t>(next)),
-        [this, load]
-        {
-            const auto& it = loads_[load];
-            requests_.push_back({load, events_.now(), draw_work(it), 0, false});
-            ++tallies_[load].asked;
-            open(requests_.size() - 1);
-            arrive(load);
-        });
+    events_.at(milliseconds(static_cast<std::int64_t>(next)),
+               [this, load]
+               {
+                   const auto& it = loads_[load];
+                   requests_.push_back(
+                       {load, events_.now(), draw_work(it), 0, 0, false});
+                   ++tallies_[load].asked;
+                   open(requests_.size() - 1);
+                   arrive(load);
+               });
 }
 
 auto packet_caller::draw_work(const packet_load& load) -> millis
@@ -268,10 +268,15 @@
 auto packet_caller::on_run(const flow_key& flow) -> void
 {
     const auto* found = tries_.find(flow);
-    if (found != nullptr)
+    if (found == nullptr)
     {
-        ++tallies_[requests_[found->number].load].runs;
+        return;
     }
+    auto& it = requests_[found->number];
+    auto& sums = tallies_[it.load];
+    ++sums.runs;
+    ++it.runs;
+    sums.doubled += it.runs > 1 && !loads_[it.load].repeatable ? 1 : 0;
 }
 
 auto packet_caller::on_refused(const flow_key& flow) -> void
--- a/bench/rig/packets/packet_caller.hpp
+++ b/bench/rig/packets/packet_caller.hpp
@@ -39,6 +39,8 @@
     std::uint64_t late = 0;
     std::uint64_t failed = 0;
     std::uint64_t runs = 0;
+    // Requests that may run once and ran again.
+    std::uint64_t doubled = 0;
     std::vector<std::int64_t> times_ms;
 
     auto in_aim_share() const -> double;
@@ -85,6 +87,7 @@
         millis asked_at;
         millis work;
         std::uint32_t tries = 0;
+        std::uint32_t runs = 0;
         bool ended = false;
     };
 
--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -163,6 +163,7 @@
     out.counter("flows_settled_elsewhere_total", it.settled_elsewhere);
     out.counter("flows_queued_total", it.queued);
     out.counter("flows_refused_total", it.refused);
+    out.counter("flows_expired_total", it.expired);
     out.counter("flows_reset_total", it.reset);
     out.counter("flows_unanswered_total", it.unanswered);
     out.counter("packets_relayed_total", it.relayed);
--- a/modules/packets/agent/agent_tallies.hpp
+++ b/modules/packets/agent/agent_tallies.hpp
@@ -14,6 +14,7 @@
     std::uint64_t settled_elsewhere = 0;
     std::uint64_t queued = 0;
     std::uint64_t refused = 0;
+    std::uint64_t expired = 0;
     std::uint64_t reset = 0;
     std::uint64_t unanswered = 0;
     std::uint64_t relayed = 0;
--- a/modules/packets/agent/flow_admission.cpp
+++ b/modules/packets/agent/flow_admission.cpp
@@ -54,15 +54,16 @@
     return waiting_.empty() && has_room(settings_.allowance_offered);
 }
 
-auto flow_admission::settle(millis now, millis asked_at) const
-    -> admission_verdict
+auto flow_admission::settle(millis now, std::uint8_t urgency,
+                            millis asked_at) const -> admission_verdict
 {
     if (waiting_.empty() && has_room(settings_.allowance_settled))
     {
         return admission_verdict::start;
     }
     const auto waits_in_time =
-        is_fresh(now, asked_at) && expected_wait() <= settings_.fresh_time;
+        is_fresh(now, asked_at) &&
+        expected_wait(now, urgency, asked_at) <= settings_.fresh_time;
     const auto room = std::size_t{slots_} * settings_.late_per_slot;
     const auto lasts =
         !waiting_.empty() && now - empty_at_ > settings_.standing_time;
@@ -158,11 +159,16 @@
                   });
 }
 
-auto flow_admission::expected_wait() const -> millis
+auto flow_admission::expected_wait(millis now, std::uint8_t urgency,
+                                   millis asked_at) const -> millis
 {
-    const auto ahead = std::int64_t{busy_} +
-                       static_cast<std::int64_t>(waiting_.size()) -
-                       std::int64_t{slots_};
+    const waiting_flow it{{}, urgency, asked_at};
+    const auto before = std::count_if(waiting_.begin(), waiting_.end(),
+                                      [&](const waiting_flow& other)
+                                      {
+                                          return !goes_before(now, it, other);
+                                      });
+    const auto ahead = std::int64_t{busy_} + before - std::int64_t{slots_};
     if (ahead <= 0)
     {
         return {};
--- a/modules/packets/agent/flow_admission.hpp
+++ b/modules/packets/agent/flow_admission.hpp
@@ -66,7 +66,8 @@
     auto has_free_slot() const -> bool;
 
     // What to do with an opening packet that has found no free slot elsewhere.
-    auto settle(millis now, millis asked_at) const -> admission_verdict;
+    auto settle(millis now, std::uint8_t urgency, millis asked_at) const
+        -> admission_verdict;
 
     // asked_at is when the caller first sent the opening packet, as far as
     // known.
@@ -84,8 +85,9 @@
 
     auto remove(const flow_key& flow) -> void;
 
-    // How long an opening packet that came now would wait.
-    auto expected_wait() const -> millis;
+    // How long a flow would wait behind those that go before it.
+    auto expected_wait(millis now, std::uint8_t urgency, millis asked_at) const
+        -> millis;
 
     auto busy() const -> std::uint32_t;
     auto waiting() const -> std::size_t;
--- a/modules/packets/agent/owned_flow.hpp
+++ b/modules/packets/agent/owned_flow.hpp
@@ -3,6 +3,8 @@
 
 #include "packets/model/flow_packet.hpp"
 
+#include <array>
+
 namespace briardrum
 {
 
@@ -47,9 +49,9 @@
     // The opening packet, until the flow is open.
     flow_packet opening;
     byte_buffer opening_bytes;
-    // Agents that were told of the flow: its home, and who would be next.
-    member_id told_home = 0;
-    member_id told_next = 0;
+    // Agents that were told of the flow: the first of its order, to which
+    // balancers send what they cannot place, and copies of opening packets.
+    std::array<member_id, 3> told{};
 };
 
 } // namespace briardrum
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -194,8 +194,9 @@
     }
     if (!draining_ && server_.takes_flows(now))
     {
-        const auto units = admission_.expected_wait().count /
-                           packet_label::best_wait_unit.count;
+        const auto expected =
+            admission_.expected_wait(now, label.urgency, asked_at(now, packet));
+        const auto units = expected.count / packet_label::best_wait_unit.count;
         const auto wait = static_cast<std::uint8_t>(
             std::min<std::int64_t>(units, packet_label::best_wait_max - 1));
         const auto place = std::find(order.begin(), order.end(), self);
@@ -246,7 +247,7 @@
         emit(log_flow("flow_dropped", flow).with("reason", "server_gone"));
         return;
     }
-    switch (admission_.settle(now, asked_at(now, packet)))
+    switch (admission_.settle(now, packet.label.urgency, asked_at(now, packet)))
     {
     case admission_verdict::start:
         start(now, packet);
@@ -257,17 +258,19 @@
     case admission_verdict::refuse:
         break;
     }
-    refuse(now, flow, packet.destination, "queue_full");
+    refuse(packet, "queue_full");
 }
 
 auto packet_agent::keep_waiting(millis now, const flow_packet& packet) -> void
 {
     const auto flow = flow_from_caller(packet);
+    const auto expected = admission_.expected_wait(now, packet.label.urgency,
+                                                   asked_at(now, packet));
     auto& row = add_flow(now, packet, flow_phase::waiting);
     admission_.push(now, flow, packet.label.urgency, asked_at(now, packet));
     ++tallies_.queued;
     emit(log_flow("flow_waits", flow)
-             .with("expected_ms", as_count(admission_.expected_wait()))
+             .with("expected_ms", as_count(expected))
              .with("hops", std::uint64_t{packet.label.hops}));
     tell_owner(flow, row);
 }
@@ -335,31 +338,37 @@
     }
 }
 
-// Only for flows that no server holds: nothing has run.
-auto packet_agent::refuse(millis now, const flow_key& flow,
-                          const endpoint& route, std::string_view reason)
+// Only for a first opening packet, of which no server has seen anything. An
+// earlier copy may have opened the flow at another agent by now, and a reset
+// would break it there: later copies are dropped, and their callers try again
+// by themselves.
+auto packet_agent::refuse(const flow_packet& opening, std::string_view reason)
     -> void
 {
-    ++tallies_.refused;
-    emit(log_flow("flow_refused", flow)
+    const auto first = opening.copies_before == 0;
+    emit(log_flow("flow_refused", flow_from_caller(opening))
              .with("reason", reason)
-             .with("expected_ms", as_count(admission_.expected_wait()))
-             .with("now_ms", as_count(now)));
-    hooks_.send_reset(route, flow.caller, 0);
+             .with("told", first ? "yes" : "no")
+             .with("copies", std::uint64_t{opening.copies_before})
+             .with("urgency", std::uint64_t{opening.label.urgency}));
+    if (!first)
+    {
+        ++tallies_.dropped;
+        return;
+    }
+    ++tallies_.refused;
+    hooks_.send_reset(opening.destination, opening.source, 0);
 }
 
-auto packet_agent::refuse_expired(millis now) -> void
+auto packet_agent::drop_expired(millis now) -> void
 {
     for (const auto& flow : admission_.take_expired(now))
     {
-        const auto* row = flows_.find(flow);
-        if (row == nullptr)
-        {
-            continue;
-        }
-        const auto route = row->route;
+        // Its caller gives up by itself within 200 ms; a copy may have opened
+        // the flow elsewhere.
+        ++tallies_.expired;
+        emit(log_flow("flow_expired", flow));
         remove_flow(now, flow);
-        refuse(now, flow, route, "waited_too_long");
     }
 }
 
@@ -750,7 +759,7 @@
                  .with("hops", std::uint64_t{again.label.hops}));
         if (again.label.hops >= settings_.offers_max)
         {
-            refuse(now, flow, route, "server_full");
+            refuse(again, "server_full");
             return;
         }
         again.label.best_wait = packet_label::best_wait_max;
@@ -945,8 +954,10 @@
                                label);
         }
     };
-    tell(0, row.told_home);
-    tell(1, row.told_next);
+    for (std::size_t position = 0; position < row.told.size(); ++position)
+    {
+        tell(position, row.told[position]);
+    }
 }
 
 auto packet_agent::retell_moved_homes() -> void
@@ -1020,7 +1031,7 @@
 
 auto packet_agent::tick(millis now) -> void
 {
-    refuse_expired(now);
+    drop_expired(now);
     start_waiting(now);
     end_searches(now);
     retell_moved_homes();
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -34,8 +34,8 @@
 //
 // An opening packet goes along the flow's rendezvous order until an agent has
 // a free slot (consistent hashing with bounded loads); that one owns the flow
-// and tells the flow's home and the next in the order, to which balancers send
-// what they cannot place. A packet of a flow that nobody here knows is shown
+// and tells the first three of the order, to which balancers send what they
+// cannot place. A packet of a flow that nobody here knows is shown
 // to all agents of the service, the others wait until the owner has answered.
 //
 // on_packet() for packets of balancers and agents, on_server_packet() for what
@@ -105,9 +105,8 @@
     auto keep_waiting(millis now, const flow_packet& packet) -> void;
     auto start(millis now, const flow_packet& packet) -> void;
     auto start_waiting(millis now) -> void;
-    auto refuse(millis now, const flow_key& flow, const endpoint& route,
-                std::string_view reason) -> void;
-    auto refuse_expired(millis now) -> void;
+    auto refuse(const flow_packet& opening, std::string_view reason) -> void;
+    auto drop_expired(millis now) -> void;
     auto give_up_waiting(millis now) -> void;
 
     // Packets of open flows.
--- /dev/null
+++ b/tests/fakes/agent_fixture.hpp
@@ -0,0 +1,59 @@
+#ifndef BRIARDRUM_TESTS_FAKES_AGENT_FIXTURE_HPP
+#define BRIARDRUM_TESTS_FAKES_AGENT_FIXTURE_HPP
+
+#include "packets/packets.hpp"
+
+#include <string>
+#include <vector>
+
+namespace briardrum::tests
+{
+
+// One packet_agent with a list of everything that it sends. Others of its
+// service are records only.
+struct agent_fixture
+{
+    struct labelled
+    {
+        endpoint to;
+        flow_packet packet;
+        packet_label label;
+    };
+
+    explicit agent_fixture(std::size_t others = 2,
+                           packet_agent_settings settings = {});
+
+    auto heartbeat(std::uint64_t sequence, bool draining = false)
+        -> heartbeat_outcome;
+    auto address_of(std::size_t other) const -> endpoint;
+
+    // A caller's packet as a balancer forwards it.
+    auto opening(std::uint16_t port, std::uint8_t copies = 0) const
+        -> flow_packet;
+    auto data(std::uint16_t port, std::uint16_t payload) const -> flow_packet;
+    auto receive(const flow_packet& packet) -> void;
+
+    // The server's packet towards the caller at this port.
+    auto answer(std::uint16_t port, bool opens, std::uint16_t payload) -> void;
+    auto give_back(const flow_packet& packet) -> void;
+
+    // Opens a flow as far as its caller's acknowledgement.
+    auto open_flow(std::uint16_t port) -> void;
+    auto notice(std::uint16_t port, label_kind kind, std::size_t other) -> void;
+    auto pass(millis span) -> void;
+    auto count_labelled(label_kind kind) const -> std::size_t;
+
+    millis now = seconds(100);
+    std::unique_ptr<member_view> members;
+    std::unique_ptr<packet_agent> core;
+    std::vector<flow_packet> to_server;
+    std::vector<flow_packet> to_caller;
+    std::vector<labelled> sent;
+    std::vector<labelled> notices;
+    std::vector<endpoint> resets;
+    std::vector<std::string> events;
+};
+
+} // namespace briardrum::tests
+
+#endif
--- /dev/null
+++ b/tests/random/packet_fleet_test.cpp
@@ -0,0 +1,170 @@
+#include "bench/rig/packets/packet_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace briardrum;
+using namespace briardrum::rig;
+
+namespace
+{
+
+// The smaller of the users' deployments: two services, lookups and orders that
+// may run once.
+auto small_fleet(std::uint64_t seed, double load) -> packet_fleet_settings
+{
+    packet_fleet_settings out;
+    out.seed = seed;
+    out.balancers = 5;
+    out.services = {{"orders", 7, 5}, {"surveys", 3, 5}};
+    packet_load lookup;
+    lookup.name = "lookup";
+    lookup.route = {0xc6120001, 443};
+    lookup.service_name = "orders";
+    lookup.urgency = 2;
+    lookup.per_second = load * 640;
+    packet_load order = lookup;
+    order.name = "order";
+    order.route = {0xc6120001, 8080};
+    order.urgency = 1;
+    order.per_second = load * 160;
+    order.work = milliseconds(52);
+    order.repeatable = false;
+    packet_load photo = lookup;
+    photo.name = "photo";
+    photo.route = {0xc6120002, 443};
+    photo.service_name = "surveys";
+    photo.per_second = load * 100;
+    out.loads = {lookup, order, photo};
+    return out;
+}
+
+auto check_promises(packet_fleet& fleet) -> void
+{
+    CHECK(fleet.caller().tally("order").doubled == 0);
+    CHECK(fleet.misrouted() == 0);
+    CHECK(fleet.broken_flows() == 0);
+}
+
+// Counts from the fourth second on, when the servers are no longer cold.
+auto run_warm(packet_fleet& fleet, millis end) -> void
+{
+    fleet.run_until(seconds(3));
+    fleet.start_load();
+    fleet.run_until(seconds(4));
+    fleet.caller().clear_tallies();
+    fleet.run_until(end);
+}
+
+} // namespace
+
+TEST_CASE("bounded-load rendezvous: nobody waits long at 90 percent load")
+{
+    packet_fleet fleet(small_fleet(1, 0.9));
+    run_warm(fleet, seconds(15));
+    check_promises(fleet);
+    CHECK(fleet.caller().tally("lookup").in_aim_share() > 0.99);
+    CHECK(fleet.imbalance("orders") < 1.10);
+}
+
+TEST_CASE("overload that lasts: what can be served is served in time")
+{
+    packet_fleet fleet(small_fleet(2, 1.2));
+    run_warm(fleet, seconds(15));
+    check_promises(fleet);
+    // At 1.2 times what the servers can do, five sixths of it can be served.
+    CHECK(fleet.caller().tally("lookup").served_share() > 0.75);
+    CHECK(fleet.caller().tally("order").in_aim_share() > 0.95);
+}
+
+TEST_CASE("a slow server is given less, and callers do not notice it long")
+{
+    packet_fleet fleet(small_fleet(3, 0.7));
+    fleet.run_until(seconds(1));
+    fleet.start_load();
+    fleet.run_until(seconds(3));
+    fleet.slow_server(0, 4);
+    fleet.caller().clear_tallies();
+    fleet.run_until(seconds(15));
+    check_promises(fleet);
+    // A slow server's own slots still answer late: 5 of 35, four times slower,
+    // are under 4 percent of the answers.
+    CHECK(fleet.caller().tally("lookup").in_aim_share() > 0.95);
+}
+
+TEST_CASE("planned work breaks no flow: balancers roll, servers drain and join")
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed)
+    {
+        CAPTURE(seed);
+        auto settings = small_fleet(seed, 0.6);
+        settings.loss = 0.001;
+        packet_fleet fleet(settings);
+        fleet.run_until(seconds(1));
+        fleet.start_load();
+        auto now = seconds(2);
+        for (std::size_t n = 0; n < 4; ++n)
+        {
+            fleet.run_until(now);
+            fleet.stop_balancer(n);
+            fleet.drain_server(n);
+            fleet.run_until(now + seconds(2));
+            fleet.start_balancer(n);
+            fleet.run_until(now + seconds(4));
+            fleet.lose_server(n);
+            fleet.run_until(now + seconds(5));
+            fleet.start_server(n);
+            now += seconds(6);
+        }
+        fleet.run_until(now + seconds(2));
+        check_promises(fleet);
+        CHECK(fleet.caller().tally("lookup").served_share() > 0.99);
+    }
+}
+
+TEST_CASE("faults of all kinds misroute nothing and reset no flow that lives")
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    {
+        CAPTURE(seed);
+        auto settings = small_fleet(seed, 0.7);
+        settings.loss = 0.005;
+        settings.view_lag_max = milliseconds(800);
+        packet_fleet fleet(settings);
+        random_source random(seed * 31);
+        fleet.run_until(seconds(1));
+        fleet.start_load();
+        std::vector<millis> back(fleet.server_count());
+        for (auto now = seconds(2); now < seconds(20); now += milliseconds(700))
+        {
+            fleet.run_until(now);
+            const auto index = random.below(fleet.server_count());
+            const auto balancer = random.below(5);
+            switch (random.below(4))
+            {
+            case 0:
+                fleet.restart_agent(index);
+                break;
+            case 1:
+                fleet.lose_server(index);
+                fleet.run_until(now + milliseconds(300));
+                fleet.start_server(index);
+                break;
+            case 2:
+                fleet.drain_server(index);
+                break;
+            default:
+                fleet.stop_balancer(balancer);
+                fleet.run_until(now + milliseconds(400));
+                fleet.start_balancer(balancer);
+                break;
+            }
+        }
+        fleet.lose_everything(seconds(1));
+        fleet.run_until(seconds(30));
+        check_promises(fleet);
+        // All drained servers came back with the power.
+        fleet.caller().clear_tallies();
+        fleet.run_until(seconds(35));
+        CHECK(fleet.caller().tally("lookup").served_share() > 0.95);
+    }
+}
--- /dev/null
+++ b/tests/unit/http_test.cpp
@@ -0,0 +1,135 @@
+#include "io/http/http_client.hpp"
+#include "io/http/http_reader.hpp"
+#include "io/http/http_server.hpp"
+#include "io/log/bounded_output.hpp"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <spdlog/logger.h>
+#include <unistd.h>
+
+using namespace briardrum;
+
+namespace
+{
+
+constexpr endpoint loopback{0x7f000001, 0};
+
+auto read_all(std::string_view text, std::size_t piece)
+    -> std::vector<http_reader::message>
+{
+    std::vector<http_reader::message> out;
+    http_reader reader(http_reader::side::requests, 100,
+                       [&](http_reader::message&& message)
+                       {
+                           out.push_back(std::move(message));
+                       });
+    for (std::size_t at = 0; at < text.size(); at += piece)
+    {
+        reader.feed(as_bytes(text.substr(at, piece)));
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("HTTP requests are read whole, however their bytes come")
+{
+    const std::string text = "POST /a?b=1 HTTP/1.1\r\nContent-Length: 3\r\n\r\n"
+                             "xyzGET /c HTTP/1.1\r\n\r\n";
+    for (const std::size_t piece :
+         {std::size_t{1}, std::size_t{7}, text.size()})
+    {
+        const auto messages = read_all(text, piece);
+        REQUIRE(messages.size() == 2);
+        CHECK(messages[0].method == "POST");
+        CHECK(messages[0].target == "/a?b=1");
+        CHECK(messages[0].body == "xyz");
+        CHECK(messages[1].target == "/c");
+        CHECK(messages[1].keep_alive);
+    }
+}
+
+TEST_CASE("bytes that are no HTTP, and bodies over the bound, end the reading")
+{
+    const auto feed = [](const std::string& text)
+    {
+        http_reader reader(http_reader::side::requests, 10,
+                           [](http_reader::message&&) {});
+        return reader.feed(as_bytes(text));
+    };
+    CHECK_FALSE(feed("\x01\x02\x03 what\r\n\r\n"));
+    CHECK_FALSE(feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n"
+                     "01234567890"));
+    CHECK(feed("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n0123456789"));
+}
+
+TEST_CASE("a call that nobody answers fails, and says that nothing was sent")
+{
+    asio::io_context context;
+    // Port 1 of the loopback address has no listener.
+    http_client client(context, {loopback.address, 1});
+    absl::Status status;
+    client.call({"GET", "/", ""}, seconds(5),
+                [&](absl::StatusOr<http_response> response)
+                {
+                    status = response.status();
+                });
+    context.run();
+    CHECK(kind_of(status) == error_kind::unavailable);
+}
+
+TEST_CASE("client and server keep a connection for several calls")
+{
+    asio::io_context context;
+    std::vector<std::string> asked;
+    http_server server(context,
+                       [&](const http_request& request)
+                       {
+                           asked.push_back(request.target + request.body);
+                           return http_response{http_ok, "text/plain", "yes"};
+                       });
+    asio::ip::tcp::acceptor probe(context,
+                                  {asio::ip::address_v4(loopback.address), 0});
+    const auto port = probe.local_endpoint().port();
+    probe.close();
+    REQUIRE(server.start({loopback.address, port}).ok());
+    http_client client(context, {loopback.address, port});
+    std::vector<std::string> answers;
+    client.call({"GET", "/one", ""}, seconds(20),
+                [&](absl::StatusOr<http_response> first)
+                {
+                    REQUIRE(first.ok());
+                    answers.push_back(first->body);
+                    client.call({"POST", "/two", "x"}, seconds(20),
+                                [&](absl::StatusOr<http_response> second)
+                                {
+                                    REQUIRE(second.ok());
+                                    answers.push_back(second->body);
+                                    server.close();
+                                    client.close();
+                                });
+                });
+    context.run();
+    CHECK(asked == std::vector<std::string>{"/one", "/twox"});
+    CHECK(answers == std::vector<std::string>{"yes", "yes"});
+}
+
+TEST_CASE("a log whose reader stands still drops lines and never waits")
+{
+    int ends[2] = {};
+    REQUIRE(::pipe(ends) == 0);
+    const auto output = std::make_shared<bounded_output>(ends[1]);
+    spdlog::logger logger("test", output);
+    const std::string line(1000, 'x');
+    for (int n = 0; n < 2000; ++n)
+    {
+        logger.info(line);
+        output->flush();
+    }
+    CHECK(output->waiting_bytes() <= bounded_output::buffer_bytes_max);
+    CHECK(output->take_lost() > 1000);
+    CHECK(output->take_lost() == 0);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
--- /dev/null
+++ b/tests/unit/packet_agent_test.cpp
@@ -0,0 +1,325 @@
+#include "tests/fakes/agent_fixture.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace briardrum;
+using namespace briardrum::tests;
+
+namespace
+{
+
+constexpr std::uint16_t full_payload = 1200;
+constexpr std::uint16_t small_payload = 300;
+
+auto has_event(const agent_fixture& it, const std::string& text) -> bool
+{
+    return std::any_of(it.events.begin(), it.events.end(),
+                       [&](const std::string& line)
+                       {
+                           return line.find(text) != std::string::npos;
+                       });
+}
+
+} // namespace
+
+TEST_CASE("an opening packet goes to the server when a slot is free")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.receive(it.opening(1));
+    REQUIRE(it.to_server.size() == 1);
+    CHECK(it.to_server.front().opens);
+    CHECK(it.core->admission().busy() == 1);
+}
+
+TEST_CASE("before the server has spoken, nothing is handed to it")
+{
+    agent_fixture it;
+    auto packet = it.opening(1);
+    packet.label.hops = 0;
+    it.receive(packet);
+    CHECK(it.to_server.empty());
+    CHECK(it.count_labelled(label_kind::offer) == 1);
+}
+
+TEST_CASE("a packet for another service never reaches the server")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    auto packet = it.opening(1);
+    packet.label.service = service_tag_of("surveys");
+    it.receive(packet);
+    auto late = it.data(1, small_payload);
+    late.label.service = service_tag_of("surveys");
+    it.receive(late);
+    CHECK(it.to_server.empty());
+    CHECK(it.core->tallies().wrong_service == 2);
+}
+
+TEST_CASE("an upload uses a slot only once it is whole")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.open_flow(1);
+    it.receive(it.data(1, full_payload));
+    CHECK(it.core->admission().busy() == 0);
+    it.receive(it.data(1, small_payload));
+    CHECK(it.core->admission().busy() == 1);
+    it.answer(1, false, small_payload);
+    CHECK(it.core->admission().busy() == 0);
+}
+
+TEST_CASE("a request's head in a packet of its own does not hold a slot")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.open_flow(1);
+    it.receive(it.data(1, small_payload));
+    it.receive(it.data(1, full_payload));
+    CHECK(it.core->admission().busy() == 0);
+}
+
+TEST_CASE("a caller that does not come back gives up its slot")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.receive(it.opening(1));
+    it.answer(1, true, 0);
+    REQUIRE(it.core->admission().busy() == 1);
+    it.pass(milliseconds(100));
+    CHECK(it.core->admission().busy() == 0);
+    // It comes after all.
+    it.receive(it.data(1, small_payload));
+    CHECK(it.core->admission().busy() == 1);
+}
+
+TEST_CASE("a draining server gets no new flow and keeps its own")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.open_flow(1);
+    it.heartbeat(2, true);
+    CHECK(it.members->self().state == member_state::draining);
+    const auto before = it.to_server.size();
+    auto packet = it.opening(2);
+    packet.label.hops = 0;
+    it.receive(packet);
+    CHECK(it.to_server.size() == before);
+    CHECK(it.count_labelled(label_kind::offer) == 1);
+    it.receive(it.data(1, small_payload));
+    CHECK(it.to_server.size() == before + 1);
+}
+
+TEST_CASE("waiting flows go to other agents when the server drains")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    // Two slots with three more allowed: the sixth waits.
+    for (std::uint16_t port = 1; port <= 6; ++port)
+    {
+        auto packet = it.opening(port);
+        packet.label.kind = label_kind::settle;
+        it.receive(packet);
+    }
+    REQUIRE(it.core->admission().waiting() == 1);
+    it.heartbeat(2, true);
+    it.pass(milliseconds(20));
+    CHECK(it.core->admission().waiting() == 0);
+    CHECK(it.resets.empty());
+}
+
+TEST_CASE("a returned opening packet is offered to the next agent")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    auto packet = it.opening(1);
+    packet.label.hops = 0;
+    packet.label.kind = label_kind::offer;
+    it.receive(packet);
+    REQUIRE(it.to_server.size() == 1);
+    it.give_back(packet);
+    CHECK(it.core->admission().busy() == 0);
+    CHECK(it.count_labelled(label_kind::offer) == 1);
+    CHECK(it.resets.empty());
+}
+
+TEST_CASE("a flow that its server lost is reset, one never confirmed is not")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.open_flow(1);
+    it.receive(it.data(1, small_payload));
+    it.answer(1, false, 0);
+    it.give_back(it.data(1, small_payload));
+    CHECK(it.resets.size() == 1);
+
+    // The caller opened the flow at another server; it is looked for there.
+    it.receive(it.opening(2));
+    it.answer(2, true, 0);
+    it.give_back(it.data(2, small_payload));
+    CHECK(it.resets.size() == 1);
+    CHECK(it.count_labelled(label_kind::locate) == 2);
+}
+
+TEST_CASE("a server's reset for a flow it was only shown stays here")
+{
+    agent_fixture it;
+    // The server is older than the agent: flows may be open that it never saw.
+    it.heartbeat(40);
+    auto shown = it.data(1, small_payload);
+    shown.label.kind = label_kind::locate;
+    it.core->on_packet(it.now, it.address_of(1), shown);
+    REQUIRE(it.to_server.size() == 1);
+    flow_packet reset;
+    reset.source = shown.destination;
+    reset.destination = shown.source;
+    reset.resets = true;
+    it.core->on_server_packet(it.now, reset);
+    CHECK(it.to_caller.empty());
+    CHECK(it.core->flow_count() == 0);
+    CHECK(has_event(it, "event=reset_withheld"));
+}
+
+TEST_CASE("a search is not started again by what it found")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    for (int n = 0; n < 50; ++n)
+    {
+        it.receive(it.data(1, small_payload));
+        it.notice(1, label_kind::owned, 1);
+        // The owner is gone by the time the packet gets there.
+        auto record = *it.members->find(member_id_of("agent-1"));
+        record.state = member_state::dead;
+        control_message message;
+        message.from = member_id_of("agent-2");
+        message.body = gossip_message{{record}, false};
+        it.members->on_control(it.now, message);
+    }
+    CHECK(it.core->tallies().searched == 1);
+}
+
+TEST_CASE("packets of a flow that is looked for wait and follow")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.receive(it.data(1, small_payload));
+    it.receive(it.data(1, 0));
+    CHECK(it.count_labelled(label_kind::locate) == 2);
+    CHECK(it.count_labelled(label_kind::relay) == 0);
+    it.notice(1, label_kind::owned, 2);
+    REQUIRE(it.count_labelled(label_kind::relay) == 1);
+    CHECK(it.sent.back().to == it.address_of(2));
+}
+
+TEST_CASE("a flow denied by all agents twice is reset, denied once it is not")
+{
+    packet_agent_settings settings;
+    agent_fixture it(2, settings);
+    it.heartbeat(1);
+    const auto deny = [&](std::size_t other)
+    {
+        it.notice(1, label_kind::unowned, other);
+    };
+    it.receive(it.data(1, small_payload));
+    deny(1);
+    deny(2);
+    CHECK(it.resets.empty());
+    it.pass(milliseconds(200));
+    it.receive(it.data(1, small_payload));
+    deny(1);
+    deny(1);
+    CHECK(it.resets.empty());
+    deny(2);
+    // The view of members must be complete for that; here it never is.
+    CHECK(it.resets.size() == (it.members->has_synchronised() ? 1 : 0));
+}
+
+TEST_CASE("a replaced server's old flows are reset at once, young ones are not")
+{
+    agent_fixture it;
+    it.heartbeat(5);
+    it.open_flow(1);
+    it.pass(seconds(3));
+    it.heartbeat(6);
+    it.open_flow(2);
+    server_heartbeat next;
+    next.server_id = "server-2";
+    next.service_name = "orders";
+    next.slots = 2;
+    next.sequence = 1;
+    next.started_at = seconds(102);
+    CHECK(it.core->on_heartbeat(it.now, next) == heartbeat_outcome::replaced);
+    REQUIRE(it.resets.size() == 1);
+    CHECK(it.resets.front().port == 1);
+}
+
+TEST_CASE("the first of the flow's order are told who owns it")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.receive(it.opening(1));
+    // One of the first two may be this agent itself.
+    CHECK(it.notices.size() >= 1);
+    for (const auto& notice : it.notices)
+    {
+        CHECK(notice.label.kind == label_kind::owned);
+    }
+}
+
+TEST_CASE("only a first opening packet is refused with a reset")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    for (std::uint16_t port = 1; port <= 60; ++port)
+    {
+        auto packet = it.opening(port);
+        packet.label.kind = label_kind::settle;
+        it.receive(packet);
+    }
+    const auto refused = it.resets.size();
+    CHECK(refused > 0);
+    for (std::uint16_t port = 61; port <= 80; ++port)
+    {
+        auto packet = it.opening(port, 1);
+        packet.label.kind = label_kind::settle;
+        it.receive(packet);
+    }
+    CHECK(it.resets.size() == refused);
+    // What waited to the end is dropped: a copy may be open elsewhere.
+    it.pass(seconds(2));
+    CHECK(it.core->admission().waiting() == 0);
+    CHECK(it.resets.size() == refused);
+}
+
+TEST_CASE("a copy of an opening packet does not open a second flow")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.receive(it.opening(1));
+    it.receive(it.opening(1, 1));
+    CHECK(it.to_server.size() == 1);
+    CHECK(it.core->admission().busy() == 1);
+    // An unanswered one is handed over again.
+    it.now += milliseconds(120);
+    it.receive(it.opening(1, 1));
+    CHECK(it.to_server.size() == 2);
+    CHECK(it.core->admission().busy() == 1);
+}
+
+TEST_CASE("a server that answers no opening packet gets no more, but a trial")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.receive(it.opening(1));
+    it.now += milliseconds(200);
+    auto packet = it.opening(2);
+    packet.label.hops = 0;
+    it.receive(packet);
+    CHECK(it.to_server.size() == 1);
+    CHECK(it.count_labelled(label_kind::offer) == 1);
+    it.now += milliseconds(100);
+    it.receive(it.opening(3));
+    CHECK(it.to_server.size() == 2);
+}
--- /dev/null
+++ b/tests/unit/platform_test.cpp
@@ -0,0 +1,287 @@
+#include "platform/platform.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace briardrum;
+
+namespace
+{
+
+constexpr auto settings_text = "node=side-1\n"
+                               "zone=north\n"
+                               "listenAddrs.datagramAddr=10.9.0.1:8101\n"
+                               "listenAddrs.readyAddr=10.9.0.1:8102\n"
+                               "listenAddrs.outbound=10.9.0.1:8103\n"
+                               "listenAddrs.control=10.9.0.1:8104\n"
+                               "internalPorts=7001,7009\n"
+                               "seeds=10.9.0.2:8104,10.9.0.3:8104\n"
+                               "heartbeatMs=900\n"
+                               "bounds.flowMaxS=60\n"
+                               "bounds.graceS=6\n"
+                               "app=10.9.0.1:8105\n"
+                               "service=svc1\n"
+                               "platform.address=10.9.9.9:8106\n"
+                               "somethingNew=1\n";
+
+auto without(std::string text, const std::string& line_start) -> std::string
+{
+    const auto at = text.find(line_start);
+    const auto end = text.find('\n', at);
+    return text.erase(at, end - at + 1);
+}
+
+auto heartbeat_request(const std::string& body) -> http_request
+{
+    return {"POST", "/v1/instances/i-1/heartbeat", body};
+}
+
+constexpr auto heartbeat_body =
+    R"({"service":"svc1","address":"10.9.0.1:8105","zone":"north",)"
+    R"("version":"v2","slots":3,"state":"ready","warmupLeftMs":1500,)"
+    R"("sequence":4,"born":1700000000000})";
+
+auto changed(const std::string& from, const std::string& to) -> std::string
+{
+    std::string out = heartbeat_body;
+    return out.replace(out.find(from), from.size(), to);
+}
+
+auto make_packet(byte_buffer& bytes) -> flow_packet
+{
+    bytes.assign(platform::head_bytes + 3, 0);
+    bytes[1] = 3;
+    bytes[5] = 9;
+    bytes[10] = 8;
+    bytes[16] = 100;
+    bytes[21] = 7;
+    bytes[24] = 198;
+    bytes[31] = 0x55;
+    const auto out = platform::read_packet(bytes);
+    REQUIRE(out.ok());
+    return *out;
+}
+
+} // namespace
+
+TEST_CASE("a packet is passed on with a label and as its sender wrote it")
+{
+    byte_buffer bytes;
+    const auto packet = make_packet(bytes);
+    CHECK(packet.payload_bytes == 3);
+    CHECK(packet.sequence == 9);
+    CHECK(packet.acknowledges);
+    CHECK(packet.label.kind == label_kind::none);
+
+    packet_label label;
+    label.kind = label_kind::offer;
+    label.urgency = 2;
+    label.hops = 7;
+    label.best_position = 3;
+    label.best_wait = 99;
+    label.waited_ms = 321;
+    label.service = 0xdeadbeef;
+    byte_buffer out;
+    platform::write_packet(packet, label, out);
+    const auto again = platform::read_packet(out);
+    REQUIRE(again.ok());
+    CHECK(again->label.kind == label_kind::offer);
+    CHECK(again->label.urgency == 2);
+    CHECK(again->label.hops == 7);
+    CHECK(again->label.best_position == 3);
+    CHECK(again->label.best_wait == 99);
+    CHECK(again->label.waited_ms == 321);
+    CHECK(again->label.service == 0xdeadbeef);
+
+    byte_buffer back;
+    platform::write_packet(*again, {}, back);
+    CHECK(back == bytes);
+}
+
+TEST_CASE("a returned packet is a valid one for another server")
+{
+    byte_buffer bytes;
+    make_packet(bytes);
+    bytes[10] |= 4;
+    const auto packet = platform::read_packet(bytes);
+    REQUIRE(packet.ok());
+    CHECK(packet->returned);
+    byte_buffer out;
+    platform::write_packet(*packet, {}, out);
+    CHECK((out[10] & 4) == 0);
+}
+
+TEST_CASE("packets that are cut or lie about their length are refused")
+{
+    byte_buffer bytes;
+    make_packet(bytes);
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+    {
+        const auto cut = platform::read_packet(byte_view(bytes).first(n));
+        CHECK(kind_of(cut.status()) == error_kind::malformed);
+    }
+    bytes.push_back(0);
+    CHECK_FALSE(platform::read_packet(bytes).ok());
+    bytes.assign(platform::head_bytes + 1201, 0);
+    bytes[0] = 1201 / 256;
+    bytes[1] = 1201 % 256;
+    CHECK_FALSE(platform::read_packet(bytes).ok());
+}
+
+TEST_CASE("an opening packet tells how many copies went before")
+{
+    byte_buffer bytes(platform::head_bytes, 0);
+    bytes[10] = 1;
+    bytes[9] = 2;
+    const auto packet = platform::read_packet(bytes);
+    REQUIRE(packet.ok());
+    CHECK(packet->opens);
+    CHECK(packet->copies_before == 2);
+}
+
+TEST_CASE("a reset goes from the route to the caller within its window")
+{
+    byte_buffer bytes;
+    platform::write_reset({0xc6120001, 443}, {0x64400007, 40001}, 77, bytes);
+    const auto packet = platform::read_packet(bytes);
+    REQUIRE(packet.ok());
+    CHECK(packet->resets);
+    CHECK(packet->source == endpoint{0xc6120001, 443});
+    CHECK(packet->destination == endpoint{0x64400007, 40001});
+    CHECK(packet->sequence == 77);
+    CHECK(packet->payload_bytes == 0);
+}
+
+TEST_CASE("a hint names the owner's VM")
+{
+    packet_label label;
+    label.kind = label_kind::hint;
+    label.owner_address = 0x0a010203;
+    byte_buffer bytes;
+    platform::write_notice({1, 2}, {3, 4}, label, bytes);
+    const auto packet = platform::read_packet(bytes);
+    REQUIRE(packet.ok());
+    CHECK(packet->label.kind == label_kind::hint);
+    CHECK(packet->label.owner_address == 0x0a010203);
+    CHECK(packet->source == endpoint{1, 2});
+}
+
+TEST_CASE("settings are decoded and unknown names passed over")
+{
+    const auto it = platform::parse_settings(settings_text, member_kind::agent,
+                                             "settings.conf");
+    REQUIRE(it.ok());
+    CHECK(it->name == "side-1");
+    CHECK(it->packets == endpoint{0x0a090001, 8101});
+    CHECK(it->members == endpoint{0x0a090001, 7001});
+    CHECK(it->caller_port == 8101);
+    CHECK(it->heartbeat_interval == milliseconds(900));
+    CHECK(it->stop_bound == seconds(5));
+    REQUIRE(it->start_addresses.size() == 2);
+    CHECK(it->start_addresses[0] == endpoint{0x0a090002, 7001});
+}
+
+TEST_CASE("a wrong setting is told with file, line and field")
+{
+    const auto missing = platform::parse_settings(
+        without(settings_text, "service="), member_kind::agent, "s.conf");
+    CHECK(missing.status().message() == "s.conf: service is missing");
+    std::string text = settings_text;
+    text.replace(text.find("10.9.0.1:8102"), 13, "ten");
+    const auto bad =
+        platform::parse_settings(text, member_kind::agent, "s.conf");
+    CHECK(bad.status().message() ==
+          "s.conf:4: listenAddrs.readyAddr is no address:port: ten");
+    text = settings_text;
+    text.replace(text.find("=900"), 4, "=soon");
+    const auto word =
+        platform::parse_settings(text, member_kind::agent, "s.conf");
+    CHECK(word.status().message() ==
+          "s.conf:9: heartbeatMs is no whole number: soon");
+    const auto balancer = platform::parse_settings(
+        without(settings_text, "service="), member_kind::balancer, "s.conf");
+    CHECK(balancer.ok());
+}
+
+TEST_CASE("the operators' configuration becomes a route table")
+{
+    const auto it = platform::read_configuration(
+        R"({"version":7,"routes":[{"name":"a","host":"198.18.0.1",)"
+        R"("prefix":"/8443/","priority":2,"service":"x"},)"
+        R"({"name":"b","host":"198.18.0.2","prefix":"/80/","backends":)"
+        R"([{"service":"x","weight":9},{"service":"y","weight":1}]}],)"
+        R"("services":[],"limits":{"idleTimeoutMs":15000}})");
+    REQUIRE(it.ok());
+    CHECK(it->version == 7);
+    CHECK(it->idle_timeout == seconds(15));
+    const auto* first = it->find({0xc6120001, 8443});
+    REQUIRE(first != nullptr);
+    CHECK(first->targets == std::vector<route_target>{{"x", 1}});
+    CHECK(first->urgency == 2);
+    const auto* second = it->find({0xc6120002, 80});
+    REQUIRE(second != nullptr);
+    CHECK(second->targets.size() == 2);
+    CHECK(it->find({0xc6120002, 81}) == nullptr);
+}
+
+TEST_CASE("a configuration that is not whole is refused, naming the field")
+{
+    const auto why = [](const std::string& text)
+    {
+        return std::string(
+            platform::read_configuration(text).status().message());
+    };
+    CHECK(why("no json") == "the configuration is no JSON object");
+    CHECK(why("{}") == "version is no number above 0");
+    CHECK(why(R"({"version":1})") == "routes is no list");
+    CHECK(why(R"({"version":1,"routes":[{"name":"a","host":"h",)"
+              R"("prefix":"/1/","service":"x"}]})") ==
+          "routes.a: host and prefix are no address");
+    CHECK(why(R"({"version":1,"routes":[{"name":"a","host":"1.2.3.4",)"
+              R"("prefix":"/1/"}]})") == "routes.a: service is missing");
+}
+
+TEST_CASE("a heartbeat is decoded once, with its server's id from the path")
+{
+    const auto it =
+        platform::read_server_call(heartbeat_request(heartbeat_body));
+    REQUIRE(it.ok());
+    const auto& heartbeat = std::get<server_heartbeat>(*it);
+    CHECK(heartbeat.server_id == "i-1");
+    CHECK(heartbeat.service_name == "svc1");
+    CHECK(heartbeat.address == endpoint{0x0a090001, 8105});
+    CHECK(heartbeat.slots == 3);
+    CHECK(heartbeat.warm_up_left == milliseconds(1500));
+    CHECK(heartbeat.sequence == 4);
+    CHECK(heartbeat.started_at == milliseconds(1700000000000));
+    const auto leave =
+        platform::read_server_call({"POST", "/v1/instances/i-1/leave", ""});
+    REQUIRE(leave.ok());
+    CHECK(std::get<server_leave>(*leave).server_id == "i-1");
+}
+
+TEST_CASE("another writer's heartbeat names no server")
+{
+    const auto kind = [](const std::string& body)
+    {
+        return kind_of(
+            platform::read_server_call(heartbeat_request(body)).status());
+    };
+    CHECK(kind("\xff\xfe") == error_kind::malformed);
+    CHECK(kind("[]") == error_kind::malformed);
+    CHECK(kind(changed(R"("slots":3)", R"("slots":"3")")) ==
+          error_kind::malformed);
+    CHECK(kind(changed(R"("slots":3)", R"("slots":0)")) ==
+          error_kind::malformed);
+    CHECK(kind(changed("ready", "resting")) == error_kind::malformed);
+    CHECK(kind(changed(R"("sequence":4)", R"("sequence":-4)")) ==
+          error_kind::malformed);
+    CHECK(kind(changed(R"(,"born":1700000000000)", "")) ==
+          error_kind::malformed);
+    CHECK(kind(changed("10.9.0.1:8105", "here")) == error_kind::malformed);
+    const auto elsewhere =
+        platform::read_server_call({"GET", "/v1/instances/i-1/heartbeat", ""});
+    CHECK(kind_of(elsewhere.status()) == error_kind::not_found);
+    const auto nested = platform::read_server_call(
+        {"POST", "/v1/instances/a/b/heartbeat", heartbeat_body});
+    CHECK(kind_of(nested.status()) == error_kind::not_found);
+}
