--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -22,8 +22,9 @@
 
 packet_agent_daemon::packet_agent_daemon(
     const packet_process_settings& settings, packet_format format,
-    server_protocol protocol, const open_store& open)
-    : settings_(settings), process_(settings, std::move(format)),
+    load_packet_settings load, server_protocol protocol, const open_store& open)
+    : settings_(settings),
+      process_(settings, std::move(format), std::move(load)),
       protocol_(std::move(protocol)),
       store_(open(process_.context(), process_.events())),
       from_server_(process_.context()),
--- a/modules/io/daemons/packet_agent_daemon.hpp
+++ b/modules/io/daemons/packet_agent_daemon.hpp
@@ -30,8 +30,8 @@
 {
 public:
     packet_agent_daemon(const packet_process_settings& settings,
-                        packet_format format, server_protocol protocol,
-                        const open_store& open);
+                        packet_format format, load_packet_settings load,
+                        server_protocol protocol, const open_store& open);
 
     auto start() -> absl::Status;
     auto run() -> int;
--- a/modules/io/daemons/packet_balancer_daemon.cpp
+++ b/modules/io/daemons/packet_balancer_daemon.cpp
@@ -7,8 +7,9 @@
 
 packet_balancer_daemon::packet_balancer_daemon(
     const packet_process_settings& settings, packet_format format,
-    packet_balancer_store from)
-    : process_(settings, std::move(format)), from_(std::move(from)),
+    load_packet_settings load, packet_balancer_store from)
+    : process_(settings, std::move(format), std::move(load)),
+      from_(std::move(from)),
       store_(from_.open(process_.context(), process_.events())),
       core_(process_.members(), process_.make_packet_hooks()),
       configuration_(*store_, {from_.configuration_key},
--- a/modules/io/daemons/packet_balancer_daemon.hpp
+++ b/modules/io/daemons/packet_balancer_daemon.hpp
@@ -25,7 +25,8 @@
 {
 public:
     packet_balancer_daemon(const packet_process_settings& settings,
-                           packet_format format, packet_balancer_store from);
+                           packet_format format, load_packet_settings load,
+                           packet_balancer_store from);
 
     auto start() -> absl::Status;
     auto run() -> int;
--- a/modules/io/daemons/packet_process.cpp
+++ b/modules/io/daemons/packet_process.cpp
@@ -15,6 +15,8 @@
 // nothing is sent while nothing changes.
 constexpr millis gossip_interval = milliseconds(50);
 constexpr millis leave_linger = milliseconds(200);
+// A settings file that changed without a signal is found within this time.
+constexpr millis reload_interval = seconds(5);
 // Balancers only tick; agents have queues to look after.
 constexpr millis balancer_tick_interval = milliseconds(50);
 constexpr millis agent_tick_interval = milliseconds(20);
@@ -56,14 +58,15 @@
 } // namespace
 
 packet_process::packet_process(packet_process_settings settings,
-                               packet_format format)
+                               packet_format format, load_packet_settings load)
     : settings_(std::move(settings)), format_(std::move(format)),
-      loop_(loop_settings_of(settings_)), packets_(loop_.context()),
-      control_(loop_.context()), http_(loop_.context(),
-                                       [this](const http_request& request)
-                                       {
-                                           return answer(request);
-                                       }),
+      load_(std::move(load)), loop_(loop_settings_of(settings_)),
+      packets_(loop_.context()), control_(loop_.context()),
+      http_(loop_.context(),
+            [this](const http_request& request)
+            {
+                return answer(request);
+            }),
       members_(own_record(), settings_.start_addresses,
                membership_settings_of_packets(),
                {[this](const endpoint& to, const control_message& message)
@@ -137,6 +140,10 @@
     {
         tick(now);
     };
+    hooks.on_reload = [this](millis now)
+    {
+        reload(now);
+    };
     hooks.on_leaving = [this](millis now)
     {
         members_.set_state(now, member_state::left);
@@ -178,6 +185,10 @@
             directory_->tick(now, members_.is_alone());
         }
     }
+    if (now >= next_reload_)
+    {
+        reload(now);
+    }
     hooks_.loop.on_tick(now);
     const auto ready = hooks_.is_ready();
     if (ready != std::exchange(was_ready_, ready))
@@ -186,6 +197,46 @@
     }
 }
 
+auto packet_process::reload(millis now) -> void
+{
+    next_reload_ = now + reload_interval;
+    const auto next = load_();
+    if (!next.ok())
+    {
+        const auto why = std::string(next.status().message());
+        if (std::exchange(reload_failure_, why) != why)
+        {
+            loop_.log().write(now,
+                              event("settings_refused", event_level::warning)
+                                  .with("why", why));
+        }
+        return;
+    }
+    reload_failure_.clear();
+    if (*next != settings_)
+    {
+        take_settings(*next);
+    }
+}
+
+// What is bound to an address stays as it is until the next start.
+auto packet_process::take_settings(const packet_process_settings& next) -> void
+{
+    auto kept = settings_;
+    kept.start_addresses = next.start_addresses;
+    kept.stop_bound = next.stop_bound;
+    loop_.log().write(
+        clock::now(),
+        event("settings_changed")
+            .with("start_addresses", std::uint64_t{next.start_addresses.size()})
+            .with("stop_bound_ms",
+                  static_cast<std::uint64_t>(next.stop_bound.count))
+            .with("rest", kept == next ? "unchanged" : "at_next_start"));
+    members_.add_start_addresses(next.start_addresses);
+    loop_.set_stop_bound(next.stop_bound);
+    settings_ = next;
+}
+
 auto packet_process::make_packet_hooks() -> packet_hooks
 {
     packet_hooks out;
--- a/modules/io/daemons/packet_process.hpp
+++ b/modules/io/daemons/packet_process.hpp
@@ -38,7 +38,10 @@
 class packet_process
 {
 public:
-    packet_process(packet_process_settings settings, packet_format format);
+    // load reads the settings anew after SIGHUP, and now and then besides: the
+    // file may change without a signal.
+    packet_process(packet_process_settings settings, packet_format format,
+                   load_packet_settings load);
     packet_process(const packet_process&) = delete;
     auto operator=(const packet_process&) -> packet_process& = delete;
 
@@ -75,10 +78,13 @@
     auto answer(const http_request& request) -> http_response;
     auto write_metrics() -> std::string;
     auto tick(millis now) -> void;
+    auto reload(millis now) -> void;
+    auto take_settings(const packet_process_settings& next) -> void;
     auto own_record() const -> member_record;
 
     packet_process_settings settings_;
     packet_format format_;
+    load_packet_settings load_;
     process_loop loop_;
     udp_socket packets_;
     udp_socket control_;
@@ -89,6 +95,9 @@
     std::uint64_t bad_packets_ = 0;
     std::uint64_t bad_control_ = 0;
     millis next_member_tick_;
+    millis next_reload_;
+    // Why the settings could last not be read, told once.
+    std::string reload_failure_;
     bool was_ready_ = false;
 };
 
--- a/modules/io/daemons/packet_process_settings.hpp
+++ b/modules/io/daemons/packet_process_settings.hpp
@@ -4,6 +4,8 @@
 #include "core/core.hpp"
 #include "wire/messages/member_record.hpp"
 
+#include <absl/status/statusor.h>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -40,8 +42,14 @@
     std::string service_name;
     millis heartbeat_interval = seconds(1);
     millis flow_lifetime = seconds(60);
+
+    auto operator==(const packet_process_settings&) const -> bool = default;
 };
 
+// Reads the settings anew.
+using load_packet_settings =
+    std::function<absl::StatusOr<packet_process_settings>()>;
+
 } // namespace briardrum
 
 #endif
--- a/modules/io/daemons/process_loop.cpp
+++ b/modules/io/daemons/process_loop.cpp
@@ -46,6 +46,11 @@
     return stopping_since_.has_value();
 }
 
+auto process_loop::set_stop_bound(millis bound) -> void
+{
+    settings_.stop_bound = bound;
+}
+
 auto process_loop::wait_for_tick() -> void
 {
     timer_.async_wait(
--- a/modules/io/daemons/process_loop.hpp
+++ b/modules/io/daemons/process_loop.hpp
@@ -59,6 +59,7 @@
     auto context() -> asio::io_context&;
     auto log() -> event_log&;
     auto is_stopping() const -> bool;
+    auto set_stop_bound(millis bound) -> void;
 
 private:
     auto wait_for_tick() -> void;
--- a/modules/io/log/event_limiter.hpp
+++ b/modules/io/log/event_limiter.hpp
@@ -23,7 +23,9 @@
 {
 public:
     static constexpr millis interval = seconds(1);
-    static constexpr std::uint32_t events_per_interval = 10;
+    // Every flow of a server with five slots at 20 ms a request, and twice
+    // that.
+    static constexpr std::uint32_t events_per_interval = 500;
 
     // True when an event of this name may be written now.
     auto admit(millis now, std::string_view name) -> bool;
--- a/modules/packets/balancer/packet_balancer.cpp
+++ b/modules/packets/balancer/packet_balancer.cpp
@@ -113,7 +113,7 @@
     send(target->address, packet, found, service_name);
     if (hooks_.events)
     {
-        hooks_.events(event("flow_placed", event_level::debug)
+        hooks_.events(event("flow_placed")
                           .with("flow", to_string(flow.caller))
                           .with("service", service_name)
                           .with("agent", to_string(target->address))
--- a/scripts/fuzz_targets.sh
+++ b/scripts/fuzz_targets.sh
@@ -1,7 +1,8 @@
 # Sourced by scripts/fuzz.sh and scripts/checks/fuzz.sh: builds and runs the
 # fuzz targets with a fixed seed and a fixed number of runs.
 fuzz_build=${BRIARDRUM_FUZZ_BUILD:-build-fuzz}
-fuzz_names=(coap envelope control frame proxy)
+fuzz_names=(coap envelope control frame proxy
+    packet_head platform_settings store_answer)
 fuzz_runs=20000
 fuzz_seed=1
 fuzz_bytes_max=4096
--- /dev/null
+++ b/stand_ins/packet_site/site_server.cpp
@@ -0,0 +1,167 @@
+#include "stand_ins/packet_site/site_server.hpp"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace briardrum::stand_in
+{
+
+namespace
+{
+
+constexpr std::uint32_t first_sequence = 1000;
+constexpr millis heartbeat_timeout = seconds(1);
+
+} // namespace
+
+site_server::site_server(asio::io_context& context,
+                         site_server_settings settings,
+                         std::function<void(const std::string&)> on_run)
+    : context_(context), settings_(std::move(settings)),
+      on_run_(std::move(on_run)), socket_(context),
+      client_(context, settings_.control), timer_(context),
+      started_ms_(clock::wall().count)
+{
+}
+
+auto site_server::start() -> bool
+{
+    if (!socket_.open(settings_.local).ok())
+    {
+        return false;
+    }
+    udp_hooks hooks;
+    hooks.on_datagram = [this](const endpoint&, byte_view bytes)
+    {
+        on_packet(bytes);
+    };
+    socket_.start(std::move(hooks));
+    beat();
+    return true;
+}
+
+auto site_server::drain() -> void
+{
+    draining_ = true;
+}
+
+auto site_server::changed_packets() const -> std::uint64_t
+{
+    return changed_;
+}
+
+auto site_server::is_leave_heard() const -> bool
+{
+    return drain_heard_;
+}
+
+auto site_server::send(const wire_packet& packet) -> void
+{
+    socket_.queue(settings_.outbound) = write_wire_packet(packet);
+}
+
+auto site_server::on_packet(byte_view bytes) -> void
+{
+    const auto packet = read_wire_packet(bytes);
+    if (!packet.has_value())
+    {
+        ++changed_;
+        return;
+    }
+    const std::pair key{packet->source, packet->destination};
+    wire_packet out;
+    out.source = packet->destination;
+    out.destination = packet->source;
+    out.sequence = first_sequence;
+    out.acknowledged = packet->sequence + 1;
+    if (packet->has(wire_packet::syn))
+    {
+        flows_.try_emplace(key);
+        out.flags = wire_packet::syn | wire_packet::ack;
+        send(out);
+        return;
+    }
+    const auto it = flows_.find(key);
+    if (it == flows_.end())
+    {
+        auto& back = socket_.queue(settings_.outbound);
+        back.assign(bytes.begin(), bytes.end());
+        back[10] |= wire_packet::returned;
+        for (std::size_t n = 11; n < 16; ++n)
+        {
+            back[n] = 0;
+        }
+        return;
+    }
+    if (packet->has(wire_packet::fin))
+    {
+        flows_.erase(it);
+        return;
+    }
+    if (packet->payload.empty())
+    {
+        return;
+    }
+    if (std::exchange(it->second.asked, true))
+    {
+        return;
+    }
+    on_run_(packet->payload);
+    const auto timer = std::make_shared<asio::steady_timer>(context_);
+    timer->expires_after(std::chrono::milliseconds(settings_.work.count));
+    timer->async_wait(
+        [this, timer, request = *packet](const asio::error_code& ec)
+        {
+            if (!ec)
+            {
+                answer(request);
+            }
+        });
+}
+
+auto site_server::answer(const wire_packet& request) -> void
+{
+    wire_packet out;
+    out.source = request.destination;
+    out.destination = request.source;
+    out.sequence = first_sequence + 1;
+    out.acknowledged =
+        request.sequence + static_cast<std::uint32_t>(request.payload.size());
+    out.flags = wire_packet::ack | wire_packet::fin;
+    out.payload = settings_.service_name + ":" + request.payload;
+    send(out);
+}
+
+auto site_server::beat() -> void
+{
+    const auto draining = draining_;
+    const nlohmann::json body = {{"service", settings_.service_name},
+                                 {"address", to_string(settings_.local)},
+                                 {"zone", "here"},
+                                 {"version", "v1"},
+                                 {"slots", settings_.slots},
+                                 {"state", draining ? "draining" : "ready"},
+                                 {"warmupLeftMs", 0},
+                                 {"sequence", ++sequence_},
+                                 {"born", started_ms_}};
+    client_.call(
+        {"POST", "/v1/instances/i-1/heartbeat", body.dump()}, heartbeat_timeout,
+        [this, draining](const absl::StatusOr<http_response>& response)
+        {
+            const auto heard = response.ok() && response->status == http_ok;
+            drain_heard_ = drain_heard_ || (heard && draining);
+        });
+    timer_.expires_after(
+        std::chrono::milliseconds(settings_.heartbeat_interval.count));
+    timer_.async_wait(
+        [this](const asio::error_code& ec)
+        {
+            if (!ec)
+            {
+                beat();
+            }
+        });
+}
+
+} // namespace briardrum::stand_in
--- /dev/null
+++ b/stand_ins/packet_site/site_server.hpp
@@ -0,0 +1,73 @@
+#ifndef BRIARDRUM_STAND_INS_PACKET_SITE_SITE_SERVER_HPP
+#define BRIARDRUM_STAND_INS_PACKET_SITE_SITE_SERVER_HPP
+
+#include "io/http/http_client.hpp"
+#include "io/udp/udp_socket.hpp"
+#include "stand_ins/packet_site/wire_packet.hpp"
+
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace briardrum::stand_in
+{
+
+struct site_server_settings
+{
+    std::string service_name;
+    // Where it takes packets, and where the agent beside it takes packets and
+    // heartbeats.
+    endpoint local;
+    endpoint outbound;
+    endpoint control;
+    std::uint32_t slots = 5;
+    millis work = milliseconds(5);
+    millis heartbeat_interval = milliseconds(300);
+};
+
+// A backend server of packet flows: its answer to a request is its service's
+// name and the request.
+class site_server
+{
+public:
+    site_server(asio::io_context& context, site_server_settings settings,
+                std::function<void(const std::string& request)> on_run);
+
+    // False when the address cannot be bound.
+    auto start() -> bool;
+
+    auto drain() -> void;
+
+    // Packets that were not as their sender wrote them.
+    auto changed_packets() const -> std::uint64_t;
+    auto is_leave_heard() const -> bool;
+
+private:
+    struct flow
+    {
+        bool asked = false;
+    };
+
+    auto on_packet(byte_view bytes) -> void;
+    auto send(const wire_packet& packet) -> void;
+    auto answer(const wire_packet& request) -> void;
+    auto beat() -> void;
+
+    asio::io_context& context_;
+    site_server_settings settings_;
+    std::function<void(const std::string&)> on_run_;
+    udp_socket socket_;
+    http_client client_;
+    asio::steady_timer timer_;
+    std::map<std::pair<endpoint, endpoint>, flow> flows_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t changed_ = 0;
+    std::int64_t started_ms_;
+    bool draining_ = false;
+    bool drain_heard_ = false;
+};
+
+} // namespace briardrum::stand_in
+
+#endif
