--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -46,6 +46,14 @@
         process_.format().write(packet, {},
                                 from_server_.queue(settings_.server));
     };
+    out.waited = [this](millis span)
+    {
+        waits_.add(span);
+    };
+    out.answered = [this](millis span)
+    {
+        answers_.add(span);
+    };
     return out;
 }
 
@@ -175,6 +183,8 @@
     out.counter("packets_wrong_service_total", it.wrong_service);
     out.counter("packets_dropped_total", it.dropped);
     out.counter("heartbeats_refused_total", bad_heartbeats_);
+    out.histogram("flow_wait_ms", waits_);
+    out.histogram("flow_answer_ms", answers_);
     out.gauge("flows", core_.flow_count());
     out.gauge("flows_busy", core_.admission().busy());
     out.gauge("flows_waiting", core_.admission().waiting());
--- a/modules/io/daemons/packet_agent_daemon.hpp
+++ b/modules/io/daemons/packet_agent_daemon.hpp
@@ -47,6 +47,8 @@
     packet_process process_;
     server_protocol protocol_;
     std::unique_ptr<store> store_;
+    latency_histogram waits_;
+    latency_histogram answers_;
     udp_socket from_server_;
     http_server heartbeats_;
     packet_agent core_;
--- a/modules/io/http/http_server.cpp
+++ b/modules/io/http/http_server.cpp
@@ -123,7 +123,7 @@
 };
 
 http_server::http_server(asio::io_context& context, handler handle)
-    : context_(context), acceptor_(context), handle_(std::move(handle))
+    : acceptor_(context), handle_(std::move(handle))
 {
 }
 
--- a/modules/io/http/http_server.hpp
+++ b/modules/io/http/http_server.hpp
@@ -44,7 +44,6 @@
     auto accept() -> void;
     auto forget(const std::shared_ptr<connection>& item) -> void;
 
-    asio::io_context& context_;
     asio::ip::tcp::acceptor acceptor_;
     handler handle_;
     // In order of their last request.
--- a/modules/io/http/metrics_text.cpp
+++ b/modules/io/http/metrics_text.cpp
@@ -6,6 +6,12 @@
 namespace
 {
 
+// About three to a decade, around the users' latency objectives.
+constexpr millis histogram_bounds[] = {
+    milliseconds(5),   milliseconds(10),   milliseconds(25),
+    milliseconds(50),  milliseconds(100),  milliseconds(200),
+    milliseconds(500), milliseconds(1000), milliseconds(2000)};
+
 auto escape(std::string_view value) -> std::string
 {
     std::string out;
@@ -52,6 +58,25 @@
     lines += " " + std::to_string(value) + "\n";
 }
 
+auto metrics_text::histogram(std::string_view name,
+                             const latency_histogram& values) -> void
+{
+    const auto full = "briardrum_" + std::string(name);
+    auto& lines = metrics_[full];
+    lines = "# TYPE " + full + " histogram\n";
+    const auto add_bucket = [&](const std::string& bound, std::uint64_t count)
+    {
+        lines += full + "_bucket{le=\"" + bound + "\"} " +
+                 std::to_string(count) + "\n";
+    };
+    for (const auto& bound : histogram_bounds)
+    {
+        add_bucket(std::to_string(bound.count), values.count_within(bound));
+    }
+    add_bucket("+Inf", values.total());
+    lines += full + "_count " + std::to_string(values.total()) + "\n";
+}
+
 auto metrics_text::text() const -> std::string
 {
     std::string out;
--- a/modules/io/http/metrics_text.hpp
+++ b/modules/io/http/metrics_text.hpp
@@ -1,6 +1,8 @@
 #ifndef BRIARDRUM_IO_HTTP_METRICS_TEXT_HPP
 #define BRIARDRUM_IO_HTTP_METRICS_TEXT_HPP
 
+#include "report/metrics/latency_histogram.hpp"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -27,6 +29,10 @@
     auto gauge(std::string_view name, std::uint64_t value,
                metric_label label = {}) -> void;
 
+    // Counts at a few bounds, in milliseconds.
+    auto histogram(std::string_view name, const latency_histogram& values)
+        -> void;
+
     auto text() const -> std::string;
 
 private:
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -306,6 +306,10 @@
             continue;
         }
         const auto waited = now - row->phase_since;
+        if (hooks_.waited)
+        {
+            hooks_.waited(waited);
+        }
         set_phase(now, *row, flow_phase::opening);
         ++tallies_.started;
         emit(log_flow("flow_started", *flow)
@@ -701,6 +705,10 @@
     }
     if (answers && row.phase == flow_phase::asking)
     {
+        if (hooks_.answered)
+        {
+            hooks_.answered(now - row.phase_since);
+        }
         set_phase(now, row, flow_phase::idle);
         start_waiting(now);
     }
--- a/modules/packets/model/packet_hooks.hpp
+++ b/modules/packets/model/packet_hooks.hpp
@@ -31,6 +31,10 @@
                        std::uint32_t acknowledged)>
         send_reset;
     std::function<void(const endpoint&, const control_message&)> send_control;
+    // For histograms; may be empty. How long an opening packet waited in the
+    // queue, and the time from a request's last packet to its answer's first.
+    std::function<void(millis)> waited;
+    std::function<void(millis)> answered;
     event_sink events;
 };
 
--- a/modules/report/metrics/latency_histogram.cpp
+++ b/modules/report/metrics/latency_histogram.cpp
@@ -65,6 +65,24 @@
     return {};
 }
 
+auto latency_histogram::total() const -> std::uint64_t
+{
+    const auto all = counts();
+    return std::accumulate(all.begin(), all.end(), std::uint64_t{0});
+}
+
+auto latency_histogram::count_within(millis latency) const -> std::uint64_t
+{
+    std::uint64_t out = 0;
+    const auto all = counts();
+    for (std::size_t n = 0; n < all.size(); ++n)
+    {
+        const auto edge = histogram_->axis(0).value(static_cast<double>(n));
+        out += edge <= static_cast<double>(latency.count) + 0.5 ? all[n] : 0;
+    }
+    return out;
+}
+
 auto latency_histogram::counts() const -> std::vector<std::uint64_t>
 {
     std::vector<std::uint64_t> out;
--- a/modules/report/metrics/latency_histogram.hpp
+++ b/modules/report/metrics/latency_histogram.hpp
@@ -36,6 +36,11 @@
     // empty when nothing was counted.
     auto counts() const -> std::vector<std::uint64_t>;
 
+    // How many were counted in all, and how many of them within this latency,
+    // to within one step.
+    auto total() const -> std::uint64_t;
+    auto count_within(millis latency) const -> std::uint64_t;
+
     // Takes counts back; false when there are not as many as steps.
     auto set_counts(std::span<const std::uint64_t> counts) -> bool;
 
--- a/tests/unit/io_log_test.cpp
+++ b/tests/unit/io_log_test.cpp
@@ -27,6 +27,28 @@
     CHECK(limiter.admit(later, "flood"));
 }
 
+TEST_CASE("a histogram is written with counts at its bounds")
+{
+    latency_histogram values;
+    for (const auto ms : {3, 30, 30, 300, 9000})
+    {
+        values.add(milliseconds(ms));
+    }
+    metrics_text out;
+    out.histogram("wait_ms", values);
+    const auto text = out.text();
+    const auto has = [&](const std::string& line)
+    {
+        return text.find(line) != std::string::npos;
+    };
+    CHECK(has("# TYPE briardrum_wait_ms histogram\n"));
+    CHECK(has("briardrum_wait_ms_bucket{le=\"5\"} 1\n"));
+    CHECK(has("briardrum_wait_ms_bucket{le=\"50\"} 3\n"));
+    CHECK(has("briardrum_wait_ms_bucket{le=\"500\"} 4\n"));
+    CHECK(has("briardrum_wait_ms_bucket{le=\"+Inf\"} 5\n"));
+    CHECK(has("briardrum_wait_ms_count 5\n"));
+}
+
 TEST_CASE("metrics are written in the Prometheus text format")
 {
     metrics_text out;
