A bound on large requests that arrive at a time; an opening packet goes elsewhere when no server process is there

Uploads held no slot while they arrived, so any number came at once, 16 packets of 1.2 kB each in flight, through balancers with links of 10 Mbit/s: their packets and everybody else's were lost, and the retransmissions kept it so after the burst had ended.

--- a/modules/io/daemons/packet_process.cpp
+++ b/modules/io/daemons/packet_process.cpp
@@ -13,7 +13,11 @@
 constexpr millis member_tick_interval = milliseconds(50);
 // After a start in common every packet waits for the first news of agents;
 // nothing is sent while nothing changes.
-constexpr millis gossip_interval = milliseconds(50);
+constexpr millis gossip_interval = milliseconds(200);
+// Probes wait behind callers' packets on a VM's link of 10 Mbit/s; a queue of
+// over half a second counts as a fault there.
+constexpr millis probe_timeout = milliseconds(500);
+constexpr millis probe_interval = seconds(1);
 constexpr millis leave_linger = milliseconds(200);
 // A settings file that changed without a signal is found within this time.
 constexpr millis reload_interval = seconds(5);
@@ -49,6 +53,8 @@
     membership_settings out;
     out.records_per_message = records_per_round;
     out.gossip_interval = gossip_interval;
+    out.probe_timeout = probe_timeout;
+    out.probe_interval = probe_interval;
     out.join_interval_alone = join_interval_alone;
     out.join_asks_alone = join_asks_alone;
     out.join_answers = join_answers;
--- a/modules/io/daemons/process_loop.cpp
+++ b/modules/io/daemons/process_loop.cpp
@@ -11,6 +11,9 @@
 {
 
 constexpr millis log_report_interval = seconds(1);
+// A tick that comes this late is told: half the time after which callers and
+// servers send a packet again.
+constexpr millis stall_min = milliseconds(100);
 
 } // namespace
 
@@ -69,6 +72,7 @@
 
 auto process_loop::tick(millis now) -> void
 {
+    note_stall(now);
     hooks_.on_tick(now);
     if (now >= log_report_at_)
     {
@@ -82,6 +86,20 @@
     log_.flush();
 }
 
+// Says that the process got no processor time, or was busy, for so long that
+// whoever waited for it noticed.
+auto process_loop::note_stall(millis now) -> void
+{
+    const auto late = now - ticked_at_ - settings_.tick_interval;
+    if (ticked_at_ != millis{} && late > stall_min)
+    {
+        log_.write(now, event("process_stalled", event_level::warning)
+                            .with("for_ms",
+                                  static_cast<std::uint64_t>(late.count)));
+    }
+    ticked_at_ = now;
+}
+
 auto process_loop::tick_stop(millis now) -> void
 {
     if (leaving_since_.has_value())
--- a/modules/io/daemons/process_loop.hpp
+++ b/modules/io/daemons/process_loop.hpp
@@ -65,6 +65,7 @@
     auto wait_for_tick() -> void;
     auto wait_for_signal() -> void;
     auto tick(millis now) -> void;
+    auto note_stall(millis now) -> void;
     auto tick_stop(millis now) -> void;
     auto on_signal(int number) -> void;
     auto on_stop_signal(millis now) -> void;
@@ -75,6 +76,7 @@
     asio::steady_timer timer_;
     event_log log_;
     process_loop_hooks hooks_;
+    millis ticked_at_;
     millis log_report_at_;
     std::optional<millis> stopping_since_;
     std::optional<millis> leaving_since_;
--- a/modules/packets/agent/flow_admission.cpp
+++ b/modules/packets/agent/flow_admission.cpp
@@ -44,9 +44,22 @@
     slot_time_us_ += (sample - slot_time_us_) / slot_time_smoothing;
 }
 
+auto flow_admission::begin_transfer() -> void
+{
+    ++transfers_;
+}
+
+auto flow_admission::end_transfer() -> void
+{
+    // The caller ends a transfer that did not begin.
+    BRIARDRUM_INVARIANT(transfers_ > 0);
+    --transfers_;
+}
+
 auto flow_admission::has_room(std::uint32_t allowance) const -> bool
 {
-    return busy_ < slots_ + allowance;
+    return busy_ < slots_ + allowance &&
+           transfers_ < slots_ + settings_.allowance_transfers;
 }
 
 auto flow_admission::has_free_slot() const -> bool
--- a/modules/packets/agent/flow_admission.hpp
+++ b/modules/packets/agent/flow_admission.hpp
@@ -18,6 +18,10 @@
     std::uint32_t allowance_offered = 1;
     // The same once no agent with a free slot was found.
     std::uint32_t allowance_settled = 3;
+    // Requests of several packets that may arrive at a time, beyond the slots.
+    // Each keeps a window of packets under way: without a bound, the narrow
+    // links of balancers lose packets of everybody.
+    std::uint32_t allowance_transfers = 1;
     // A flow that waited no longer than this can still be answered in time: the
     // rest of the users' shortest latency objective, 120 ms, is work.
     millis fresh_time = milliseconds(60);
@@ -62,6 +66,10 @@
     auto occupy() -> void;
     auto vacate(std::optional<millis> used_for) -> void;
 
+    // A request of several packets began to arrive, or is over.
+    auto begin_transfer() -> void;
+    auto end_transfer() -> void;
+
     // True when the server has a free slot for a flow just offered.
     auto has_free_slot() const -> bool;
 
@@ -108,6 +116,7 @@
     admission_settings settings_;
     std::uint32_t slots_ = 1;
     std::uint32_t busy_ = 0;
+    std::uint32_t transfers_ = 0;
     // Smoothed time that a flow uses a slot, in microseconds.
     std::int64_t slot_time_us_;
     // In order of arrival.
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -22,6 +22,8 @@
 constexpr millis opening_time_max = milliseconds(60);
 // Longer than any request's deadline: the caller is gone, the slot is free.
 constexpr millis asking_time_max = seconds(8);
+// A caller whose packets were lost is silent for 200 ms, then sends again.
+constexpr millis transfer_stalled_after = milliseconds(250);
 // A closed flow's last packets are retransmitted for about so long; a probed
 // flow that is not the server's was returned long before.
 constexpr millis closed_linger = seconds(2);
@@ -663,10 +665,31 @@
     {
         row = &adopt_from_server(now, flow, packet);
     }
+    if (packet.resets && row->phase == flow_phase::opening)
+    {
+        on_opening_refused(now, flow, *row);
+        return;
+    }
     hooks_.send_to_caller(packet);
     on_answer(now, flow, *row, packet);
 }
 
+// A reset in answer to an opening packet: no server process is there. Nothing
+// has run, and another agent may take the flow.
+auto packet_agent::on_opening_refused(millis now, const flow_key& flow,
+                                      owned_flow& row) -> void
+{
+    auto packet = row.opening;
+    const auto bytes = row.opening_bytes;
+    packet.datagram = bytes;
+    server_.on_opening_refused(now);
+    emit(log_flow("opening_refused", flow)
+             .with("hops", std::uint64_t{packet.label.hops}));
+    remove_flow(now, flow);
+    give_up_waiting(now);
+    offer_on(now, packet);
+}
+
 // A server that was shown a packet of a flow that is not its own may answer
 // with a reset; the flow's owner still serves it.
 auto packet_agent::refuse_foreign_reset(millis now, const flow_key& flow,
@@ -918,6 +941,14 @@
                               ? std::optional<millis>(now - row.phase_since)
                               : std::nullopt);
     }
+    if (phase == flow_phase::receiving && before != flow_phase::receiving)
+    {
+        admission_.begin_transfer();
+    }
+    if (phase != flow_phase::receiving && before == flow_phase::receiving)
+    {
+        admission_.end_transfer();
+    }
     row.phase = phase;
     row.phase_since = now;
     if (phase == flow_phase::idle)
@@ -1010,6 +1041,12 @@
         {
             set_phase(now, row, flow_phase::idle);
         }
+        const auto stalled = row.phase == flow_phase::receiving &&
+                             now - row.last_used > transfer_stalled_after;
+        if (stalled)
+        {
+            set_phase(now, row, flow_phase::idle);
+        }
         const auto closed = (row.caller_closed && row.server_closed) ||
                             row.phase == flow_phase::probing;
         const auto idle = now - row.last_used;
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -127,6 +127,8 @@
     auto end_searches(millis now) -> void;
 
     // The server's packets.
+    auto on_opening_refused(millis now, const flow_key& flow, owned_flow& row)
+        -> void;
     auto refuse_foreign_reset(millis now, const flow_key& flow,
                               const owned_flow* probed) -> void;
     auto on_returned(millis now, const flow_packet& packet) -> void;
--- a/modules/packets/agent/served_server.cpp
+++ b/modules/packets/agent/served_server.cpp
@@ -104,6 +104,12 @@
     unanswered_since_.reset();
 }
 
+auto served_server::on_opening_refused(millis now) -> void
+{
+    refused_at_ = now;
+    unanswered_since_.reset();
+}
+
 auto served_server::takes_flows(millis now) const -> bool
 {
     if (!last_.has_value() || left_ || last_->draining)
@@ -115,7 +121,11 @@
     {
         return false;
     }
-    return !is_silent(now) || now - tried_at_ >= trial_interval;
+    // One that refused is tried again now and then, and once it speaks.
+    const auto refuses = refused_at_.has_value() &&
+                         heartbeat_at_ <= *refused_at_ &&
+                         now - *refused_at_ < trial_interval;
+    return !refuses && (!is_silent(now) || now - tried_at_ >= trial_interval);
 }
 
 auto served_server::is_silent(millis now) const -> bool
--- a/modules/packets/agent/served_server.hpp
+++ b/modules/packets/agent/served_server.hpp
@@ -55,6 +55,9 @@
     auto on_opening_sent(millis now) -> void;
     auto on_opening_answered(millis now) -> void;
 
+    // The server's process is not there: it refused an opening packet.
+    auto on_opening_refused(millis now) -> void;
+
     // True when the server may get new flows.
     auto takes_flows(millis now) const -> bool;
 
@@ -83,6 +86,7 @@
     // When the oldest unanswered opening packet was sent; none when 0.
     std::optional<millis> unanswered_since_;
     millis tried_at_;
+    std::optional<millis> refused_at_;
     bool left_ = false;
     bool predates_agent_ = true;
 };
--- a/tests/unit/flow_admission_test.cpp
+++ b/tests/unit/flow_admission_test.cpp
@@ -46,6 +46,22 @@
           admission_verdict::wait);
 }
 
+TEST_CASE("bounded transfers: large requests do not all arrive at once")
+{
+    flow_admission it({});
+    it.set_slots(2);
+    for (int n = 0; n < 3; ++n)
+    {
+        CHECK(it.has_free_slot());
+        it.begin_transfer();
+    }
+    CHECK_FALSE(it.has_free_slot());
+    CHECK(it.settle(seconds(1), ordinary, seconds(1)) ==
+          admission_verdict::wait);
+    it.end_transfer();
+    CHECK(it.has_free_slot());
+}
+
 TEST_CASE("adaptive LIFO: fresh flows go before late ones, by urgency first")
 {
     auto it = full_server();
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -181,6 +181,25 @@
     CHECK(has_event(it, "event=reset_withheld"));
 }
 
+TEST_CASE("a server process that is gone: the opening packet goes elsewhere")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    auto packet = it.opening(1);
+    packet.label.hops = 0;
+    packet.label.kind = label_kind::offer;
+    it.receive(packet);
+    flow_packet reset;
+    reset.source = packet.destination;
+    reset.destination = packet.source;
+    reset.resets = true;
+    it.core->on_server_packet(it.now, reset);
+    CHECK(it.to_caller.empty());
+    CHECK(it.count_labelled(label_kind::offer) == 1);
+    CHECK_FALSE(it.core->server().takes_flows(it.now));
+    CHECK(it.core->server().takes_flows(it.now + milliseconds(300)));
+}
+
 TEST_CASE("a search is not started again by what it found")
 {
     agent_fixture it;
