--- a/modules/io/daemons/process_loop.cpp
+++ b/modules/io/daemons/process_loop.cpp
@@ -93,9 +93,9 @@
     const auto late = now - ticked_at_ - settings_.tick_interval;
     if (ticked_at_ != millis{} && late > stall_min)
     {
-        log_.write(now, event("process_stalled", event_level::warning)
-                            .with("for_ms",
-                                  static_cast<std::uint64_t>(late.count)));
+        log_.write(now,
+                   event("process_stalled", event_level::warning)
+                       .with("for_ms", static_cast<std::uint64_t>(late.count)));
     }
     ticked_at_ = now;
 }
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -13,10 +13,6 @@
 // A search's answers come within two hops between data centres. Afterwards
 // the caller's next retransmission searches again.
 constexpr millis search_time = milliseconds(100);
-// Callers retransmit after 200 ms; a search before that is the same packet's.
-constexpr millis orphan_confirm_after = milliseconds(150);
-// Longer than the retransmission interval at its longest, 1.6 s.
-constexpr millis orphan_kept = seconds(3);
 // A caller answers an open flow within two trips and some processing; one that
 // is gone must not hold a slot. A later packet takes a slot again.
 constexpr millis opening_time_max = milliseconds(60);
@@ -517,7 +513,6 @@
     }
     auto& row = searches_.insert(flow);
     row.since = now;
-    row.acknowledged = packet.acknowledged;
     ++tallies_.searched;
     auto label = packet.label;
     label.kind = label_kind::locate;
@@ -568,8 +563,9 @@
     hooks_.send_notice(from, packet.source, packet.destination, label);
 }
 
-// Once every agent of the service has denied a flow, twice with a
-// retransmission between, its server is gone: the caller is told at once.
+// Every agent that is known has denied the flow. It may still be open at one
+// that is not known here yet, so nothing is reset: the line tells the person on
+// call, and the caller's deadline ends the flow.
 auto packet_agent::on_unowned(millis now, const endpoint& from,
                               const flow_packet& notice) -> void
 {
@@ -584,33 +580,12 @@
     {
         denied.push_back(from.address);
     }
-    if (denied.size() < row->asked || is_uncertain(now) ||
-        !members_.has_synchronised())
+    if (denied.size() == row->asked)
     {
-        return;
-    }
-    auto& lost = orphans_.insert(flow, {now});
-    lost.acknowledged = row->acknowledged;
-    if (now - lost.since < orphan_confirm_after)
-    {
-        return;
+        emit(log_flow("owner_denied", flow)
+                 .with("denied_by", std::uint64_t{denied.size()})
+                 .with("since_ms", as_count(now - row->since)));
     }
-    ++tallies_.reset;
-    emit(log_flow("flow_reset", flow)
-             .with("reason", "held_by_no_server")
-             .with("denied_by", std::uint64_t{denied.size()})
-             .with("first_denied_ms", as_count(now - lost.since)));
-    hooks_.send_reset(notice.destination, notice.source, lost.acknowledged);
-    orphans_.erase(flow);
-}
-
-auto packet_agent::forget_orphans(millis now) -> void
-{
-    orphans_.erase_if(
-        [&](const flow_key&, const orphan& it)
-        {
-            return now - it.since > orphan_kept;
-        });
 }
 
 auto packet_agent::end_searches(millis now) -> void
@@ -1063,7 +1038,6 @@
     {
         next_table_expiry_ = now + table_expiry_interval;
         redirects_.expire(now, settings_.flow_lifetime);
-        forget_orphans(now);
     }
 }
 
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -81,17 +81,6 @@
         // Agents that were asked, and those of them that do not hold the flow.
         std::size_t asked = 0;
         std::vector<std::uint32_t> denied_by;
-        // Up to where the caller has received.
-        std::uint32_t acknowledged = 0;
-    };
-
-    // A flow of which every agent of the service said that it does not hold
-    // it, and when first.
-    struct orphan
-    {
-        millis since;
-        // Up to where its caller has received.
-        std::uint32_t acknowledged = 0;
     };
 
     // Opening packets.
@@ -148,7 +137,6 @@
     auto retell_moved_homes() -> void;
     auto drop_server_flows(millis now) -> void;
     auto expire_flows(millis now) -> void;
-    auto forget_orphans(millis now) -> void;
     auto is_uncertain(millis now) const -> bool;
 
     // Members.
@@ -172,7 +160,6 @@
     redirect_table redirects_;
     held_packets<flow_packet> held_;
     table<flow_key, search> searches_;
-    table<flow_key, orphan> orphans_;
     agent_tallies tallies_;
     bool draining_ = false;
     std::uint64_t told_epoch_ = 0;
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -71,7 +71,7 @@
     http_client client(context, {loopback.address, 1});
     absl::Status status;
     client.call({"GET", "/", ""}, seconds(5),
-                [&](absl::StatusOr<http_response> response)
+                [&](const absl::StatusOr<http_response>& response)
                 {
                     status = response.status();
                 });
@@ -97,12 +97,12 @@
     http_client client(context, {loopback.address, port});
     std::vector<std::string> answers;
     client.call({"GET", "/one", ""}, seconds(20),
-                [&](absl::StatusOr<http_response> first)
+                [&](const absl::StatusOr<http_response>& first)
                 {
                     REQUIRE(first.ok());
                     answers.push_back(first->body);
                     client.call({"POST", "/two", "x"}, seconds(20),
-                                [&](absl::StatusOr<http_response> second)
+                                [&](const absl::StatusOr<http_response>& second)
                                 {
                                     REQUIRE(second.ok());
                                     answers.push_back(second->body);
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -232,27 +232,20 @@
     CHECK(it.sent.back().to == it.address_of(2));
 }
 
-TEST_CASE("a flow denied by all agents twice is reset, denied once it is not")
+TEST_CASE("a flow that all known agents deny is told of and never reset")
 {
-    packet_agent_settings settings;
-    agent_fixture it(2, settings);
+    agent_fixture it;
     it.heartbeat(1);
-    const auto deny = [&](std::size_t other)
+    for (int n = 0; n < 10; ++n)
     {
-        it.notice(1, label_kind::unowned, other);
-    };
-    it.receive(it.data(1, small_payload));
-    deny(1);
-    deny(2);
-    CHECK(it.resets.empty());
-    it.pass(milliseconds(200));
-    it.receive(it.data(1, small_payload));
-    deny(1);
-    deny(1);
+        it.receive(it.data(1, small_payload));
+        it.notice(1, label_kind::unowned, 1);
+        it.notice(1, label_kind::unowned, 1);
+        it.notice(1, label_kind::unowned, 2);
+        it.pass(milliseconds(200));
+    }
+    CHECK(has_event(it, "event=owner_denied"));
     CHECK(it.resets.empty());
-    deny(2);
-    // The view of members must be complete for that; here it never is.
-    CHECK(it.resets.size() == (it.members->has_synchronised() ? 1 : 0));
 }
 
 TEST_CASE("a replaced server's old flows are reset at once, young ones are not")
