--- a/modules/io/log/event_limiter.cpp
+++ b/modules/io/log/event_limiter.cpp
@@ -3,7 +3,8 @@
 namespace briardrum
 {
 
-auto event_limiter::admit(millis now, std::string_view name) -> bool
+auto event_limiter::admit(millis now, std::string_view name,
+                          std::uint32_t limit) -> bool
 {
     auto& row = windows_.insert(std::string(name), {now, 0, 0});
     if (now - row.since >= interval)
@@ -11,7 +12,7 @@
         row.since = now;
         row.admitted = 0;
     }
-    if (row.admitted >= events_per_interval)
+    if (row.admitted >= limit)
     {
         ++row.suppressed;
         return false;
--- a/modules/io/log/event_limiter.hpp
+++ b/modules/io/log/event_limiter.hpp
@@ -23,12 +23,14 @@
 {
 public:
     static constexpr millis interval = seconds(1);
-    // Every flow of a server with five slots at 20 ms a request, and twice
-    // that.
-    static constexpr std::uint32_t events_per_interval = 500;
+    static constexpr std::uint32_t events_per_interval = 10;
+    // For decisions on flows: every flow of a server with five slots at 20 ms
+    // a request, and twice that.
+    static constexpr std::uint32_t decisions_per_interval = 500;
 
     // True when an event of this name may be written now.
-    auto admit(millis now, std::string_view name) -> bool;
+    auto admit(millis now, std::string_view name,
+               std::uint32_t limit = events_per_interval) -> bool;
 
     // What was kept out in intervals that are over, each told once.
     auto take_suppressed(millis now) -> std::vector<suppressed_events>;
--- a/modules/io/log/event_log.cpp
+++ b/modules/io/log/event_log.cpp
@@ -50,7 +50,10 @@
 
 auto event_log::write(millis now, const event& value) -> void
 {
-    if (value.level() < level_ || !limiter_.admit(now, value.name()))
+    const auto limit = value.level() >= event_level::warning
+                           ? event_limiter::events_per_interval
+                           : event_limiter::decisions_per_interval;
+    if (value.level() < level_ || !limiter_.admit(now, value.name(), limit))
     {
         return;
     }
