--- a/modules/packets/balancer/packet_balancer.hpp
+++ b/modules/packets/balancer/packet_balancer.hpp
@@ -18,7 +18,7 @@
 // flow's home, the first agent in rendezvous order, which knows more.
 //
 // adopt() a route table; on_caller_packet() for each packet of the fabric,
-// on_notice() for each notice of an agent.
+// on_hint() for each hint of an agent.
 class packet_balancer
 {
 public:
