Searches for owners are bounded; a flow is reset only where it is known to be open

Cause: two faults in one place. (1) After a loss of power callers retransmit packets of every flow there was.

The agent keeps its server's position in the handshake: a caller that acknowledges another position is passed on to the owner; server resets, lost flows and replaced incarnations reset only flows that opened here. A refused opening packet is told only within 150 ms of the caller's first, before a copy can be under way, its time at servers and in queues counted.

Ruled out: resets after all known agents denied a flow (an owner not known yet, or of a former service, is not asked; not brought back).

--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -179,6 +179,7 @@
     out.counter("searches_total", it.searched);
     out.counter("searches_found_total", it.found);
     out.counter("searches_failed_total", it.search_failed);
+    out.counter("searches_deferred_total", it.search_deferred);
     out.counter("packets_returned_total", it.returned);
     out.counter("packets_wrong_service_total", it.wrong_service);
     out.counter("packets_dropped_total", it.dropped);
--- a/modules/packets/agent/agent_tallies.hpp
+++ b/modules/packets/agent/agent_tallies.hpp
@@ -21,6 +21,7 @@
     std::uint64_t searched = 0;
     std::uint64_t found = 0;
     std::uint64_t search_failed = 0;
+    std::uint64_t search_deferred = 0;
     std::uint64_t returned = 0;
     std::uint64_t wrong_service = 0;
     std::uint64_t dropped = 0;
--- a/modules/packets/agent/owned_flow.hpp
+++ b/modules/packets/agent/owned_flow.hpp
@@ -4,6 +4,7 @@
 #include "packets/model/flow_packet.hpp"
 
 #include <array>
+#include <optional>
 
 namespace briardrum
 {
@@ -42,7 +43,10 @@
     millis last_used;
     // Up to where the caller has received, for a reset.
     std::uint32_t caller_acknowledged = 0;
-    // The server answered more than the opening packet: it holds the flow.
+    // The server's own first position, from its answer to the opening packet.
+    std::optional<std::uint32_t> server_sequence;
+    // The caller acknowledged that answer, or the server answered more than the
+    // opening packet: the flow is open here and nowhere else.
     bool confirmed = false;
     bool caller_closed = false;
     bool server_closed = false;
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-// A search's answers come within two hops between data centres. Afterwards
-// the caller's next retransmission searches again.
-constexpr millis search_time = milliseconds(100);
 // A caller answers an open flow within two trips and some processing; one that
 // is gone must not hold a slot. A later packet takes a slot again.
 constexpr millis opening_time_max = milliseconds(60);
@@ -28,6 +25,13 @@
 // A repeated opening packet is handed to the server again when the first had
 // this long to be answered.
 constexpr millis opening_repeat_after = milliseconds(100);
+// A caller sends its first copy of an opening packet after 200 ms; this long
+// after the first nothing can be open by a copy, with 50 ms for the way.
+constexpr millis refusal_window = milliseconds(150);
+// The ends have at most 16 packets of 1,200 bytes under way, so a caller's
+// first acknowledgement of a server's handshake is no further from its
+// position.
+constexpr std::uint32_t handshake_window = 16 * 1200;
 // Most hops of a packet between agents.
 constexpr std::uint8_t relay_hops_max = 4;
 
@@ -148,8 +152,8 @@
     {
         return;
     }
-    auto packet = row.opening;
     const auto bytes = row.opening_bytes;
+    auto packet = opening_of(now, row);
     packet.datagram = bytes;
     if (!server_.is_silent(now))
     {
@@ -256,7 +260,7 @@
     case admission_verdict::refuse:
         break;
     }
-    refuse(packet, "queue_full");
+    refuse(now, packet, "queue_full");
 }
 
 auto packet_agent::keep_waiting(millis now, const flow_packet& packet) -> void
@@ -329,29 +333,29 @@
         {
             continue;
         }
-        auto packet = row->opening;
         const auto bytes = row->opening_bytes;
+        auto packet = opening_of(now, *row);
         packet.datagram = bytes;
         packet.label.best_wait = packet_label::best_wait_max;
-        packet.label.waited_ms = static_cast<std::uint16_t>(
-            packet.label.waited_ms + as_count(now - row->phase_since));
         remove_flow(now, flow);
         offer_on(now, packet);
     }
 }
 
-// Only for a first opening packet, of which no server has seen anything. An
-// earlier copy may have opened the flow at another agent by now, and a reset
-// would break it there: later copies are dropped, and their callers try again
-// by themselves.
-auto packet_agent::refuse(const flow_packet& opening, std::string_view reason)
-    -> void
+// Only for a first opening packet of which no copy can be under way. Another
+// copy may have opened the flow at another agent by now, and a reset would
+// break it there: what is older is dropped, and its caller tries again by
+// itself.
+auto packet_agent::refuse(millis now, const flow_packet& opening,
+                          std::string_view reason) -> void
 {
-    const auto first = opening.copies_before == 0;
+    const auto age = now - asked_at(now, opening);
+    const auto first = opening.copies_before == 0 && age < refusal_window;
     emit(log_flow("flow_refused", flow_from_caller(opening))
              .with("reason", reason)
              .with("told", first ? "yes" : "no")
              .with("copies", std::uint64_t{opening.copies_before})
+             .with("age_ms", as_count(age))
              .with("urgency", std::uint64_t{opening.label.urgency}));
     if (!first)
     {
@@ -411,7 +415,7 @@
         }
         redirects_.erase(flow);
     }
-    if (is_uncertain(now) && searches_.find(flow) == nullptr)
+    if (is_uncertain(now) && !searches_.is_known(flow))
     {
         probe_server(now, packet);
         return;
@@ -428,9 +432,20 @@
         ++tallies_.dropped;
         return;
     }
+    if (opens_elsewhere(row, packet))
+    {
+        emit(log_flow("flow_not_ours", flow)
+                 .with("phase", to_string(row.phase))
+                 .with("reason", "handshake_of_another_server"));
+        remove_flow(now, flow);
+        start_waiting(now);
+        look_for_owner(now, packet);
+        return;
+    }
     row.last_used = now;
     if (packet.acknowledges)
     {
+        row.confirmed = row.confirmed || row.server_sequence.has_value();
         row.caller_acknowledged = packet.acknowledged;
     }
     if (packet.payload_bytes > 0)
@@ -446,6 +461,19 @@
     }
 }
 
+// Two copies of an opening packet may reach two servers, which both accept. The
+// flow opens at the one whose answer the caller acknowledges.
+auto packet_agent::opens_elsewhere(const owned_flow& row,
+                                   const flow_packet& packet) const -> bool
+{
+    if (row.confirmed || !packet.acknowledges ||
+        !row.server_sequence.has_value())
+    {
+        return false;
+    }
+    return packet.acknowledged - *row.server_sequence > handshake_window;
+}
+
 // While full packets come, more of the request follows: the server works from
 // the last one on, which is not full.
 auto packet_agent::note_request(millis now, owned_flow& row,
@@ -501,31 +529,37 @@
 auto packet_agent::look_for_owner(millis now, const flow_packet& packet) -> void
 {
     const auto flow = flow_from_caller(packet);
-    if (const auto* row = searches_.find(flow))
+    const auto self = members_.self().id;
+    const auto known = members_.agents_of(server_.service_name());
+    std::vector<member_id> agents(known.begin(), known.end());
+    std::erase(agents, self);
+    switch (searches_.admit(now, flow, agents.size()))
     {
-        // One search at a time, and none again at once: its answers are on
-        // their way, or were of no use and would be again.
-        if (row->found || !held_.hold(flow, packet))
-        {
-            ++tallies_.dropped;
-        }
+    case owner_search::verdict::search:
+        break;
+    case owner_search::verdict::hold:
+        tallies_.dropped += held_.hold(flow, packet) ? 0 : 1;
+        return;
+    case owner_search::verdict::drop:
+        ++tallies_.dropped;
+        return;
+    case owner_search::verdict::defer:
+        ++tallies_.dropped;
+        ++tallies_.search_deferred;
+        emit(log_flow("search_deferred", flow)
+                 .with("reason", "too_many_searches"));
         return;
     }
-    auto& row = searches_.insert(flow);
-    row.since = now;
     ++tallies_.searched;
     auto label = packet.label;
     label.kind = label_kind::locate;
     label.service = tag_;
-    for (const auto id : members_.agents_of(server_.service_name()))
+    for (const auto id : agents)
     {
-        if (id != members_.self().id)
-        {
-            row.asked += send_to(id, packet, label) ? 1 : 0;
-        }
+        send_to(id, packet, label);
     }
     emit(log_flow("owner_searched", flow)
-             .with("asked", std::uint64_t{row.asked})
+             .with("asked", std::uint64_t{agents.size()})
              .with("hops", std::uint64_t{packet.label.hops}));
 }
 
@@ -539,8 +573,7 @@
     }
     const auto flow = flow_from_caller(notice);
     redirects_.set(now, {flow, owner->id, owner->life, 0});
-    auto* row = searches_.find(flow);
-    if (row == nullptr || std::exchange(row->found, true))
+    if (!searches_.found(flow))
     {
         return;
     }
@@ -570,42 +603,19 @@
                               const flow_packet& notice) -> void
 {
     const auto flow = flow_from_caller(notice);
-    auto* row = searches_.find(flow);
-    if (row == nullptr || row->found)
-    {
-        return;
-    }
-    auto& denied = row->denied_by;
-    if (std::find(denied.begin(), denied.end(), from.address) == denied.end())
-    {
-        denied.push_back(from.address);
-    }
-    if (denied.size() == row->asked)
+    const auto denial = searches_.denied(now, flow, from.address);
+    if (denial.has_value())
     {
         emit(log_flow("owner_denied", flow)
-                 .with("denied_by", std::uint64_t{denied.size()})
-                 .with("since_ms", as_count(now - row->since)));
+                 .with("denied_by", std::uint64_t{denial->agents})
+                 .with("since_ms", as_count(denial->asked_for)));
     }
 }
 
 auto packet_agent::end_searches(millis now) -> void
 {
-    std::vector<flow_key> over;
-    for (const auto& [flow, row] : searches_.rows())
+    for (const auto& flow : searches_.end_over(now))
     {
-        if (now - row.since >= search_time)
-        {
-            over.push_back(flow);
-        }
-    }
-    for (const auto& flow : over)
-    {
-        const auto found = searches_.find(flow)->found;
-        searches_.erase(flow);
-        if (found)
-        {
-            continue;
-        }
         std::uint64_t dropped = 0;
         held_.release(flow,
                       [&](const flow_packet&)
@@ -640,11 +650,16 @@
     {
         row = &adopt_from_server(now, flow, packet);
     }
-    if (packet.resets && row->phase == flow_phase::opening)
+    if (packet.resets && row->phase == flow_phase::opening && !row->confirmed)
     {
         on_opening_refused(now, flow, *row);
         return;
     }
+    if (packet.resets && !row->confirmed)
+    {
+        refuse_foreign_reset(now, flow, row);
+        return;
+    }
     hooks_.send_to_caller(packet);
     on_answer(now, flow, *row, packet);
 }
@@ -654,8 +669,8 @@
 auto packet_agent::on_opening_refused(millis now, const flow_key& flow,
                                       owned_flow& row) -> void
 {
-    auto packet = row.opening;
     const auto bytes = row.opening_bytes;
+    auto packet = opening_of(now, row);
     packet.datagram = bytes;
     server_.on_opening_refused(now);
     emit(log_flow("opening_refused", flow)
@@ -665,18 +680,21 @@
     offer_on(now, packet);
 }
 
-// A server that was shown a packet of a flow that is not its own may answer
-// with a reset; the flow's owner still serves it.
+// A server that was shown a packet of a flow that is not its own, or accepted
+// one that opened at another server, may answer with a reset; the flow's owner
+// still serves it.
 auto packet_agent::refuse_foreign_reset(millis now, const flow_key& flow,
-                                        const owned_flow* probed) -> void
+                                        const owned_flow* row) -> void
 {
     ++tallies_.dropped;
-    emit(log_flow("reset_withheld", flow)
-             .with("reason", "flow_not_held")
-             .with("probed", probed == nullptr ? "no" : "yes"));
-    if (probed != nullptr)
+    emit(
+        log_flow("reset_withheld", flow)
+            .with("reason", "flow_not_held")
+            .with("phase", row == nullptr ? "unknown" : to_string(row->phase)));
+    if (row != nullptr)
     {
         remove_flow(now, flow);
+        start_waiting(now);
     }
 }
 
@@ -686,6 +704,7 @@
     row.last_used = now;
     if (packet.opens)
     {
+        row.server_sequence = packet.sequence;
         server_.on_opening_answered(now);
         return;
     }
@@ -744,7 +763,7 @@
     }
     auto again = packet;
     again.returned = false;
-    again.label = row->opening.label;
+    again.label = opening_of(now, *row).label;
     again.label.service = tag_;
     again.label.kind = label_kind::relay;
     const auto route = row->route;
@@ -765,7 +784,7 @@
                  .with("hops", std::uint64_t{again.label.hops}));
         if (again.label.hops >= settings_.offers_max)
         {
-            refuse(again, "server_full");
+            refuse(now, again, "server_full");
             return;
         }
         again.label.best_wait = packet_label::best_wait_max;
@@ -824,9 +843,10 @@
     return known;
 }
 
-// Flows of an incarnation that is gone: their callers are told at once, so
-// that they can try again. A flow so young that it may be open at the new
-// incarnation, from before its first heartbeat, is left to the server to judge.
+// Flows of an incarnation that is gone: callers whose flows were open here are
+// told at once, so that they can try again. A flow so young that it may be open
+// at the new incarnation, from before its first heartbeat, is left to the
+// server to judge.
 auto packet_agent::drop_server_flows(millis now) -> void
 {
     const auto announced_within = settings_.heartbeat_interval * 2;
@@ -843,11 +863,15 @@
     for (const auto& flow : gone)
     {
         const auto* row = flows_.find(flow);
-        ++tallies_.reset;
-        emit(log_flow("flow_reset", flow)
-                 .with("reason", "server_replaced")
-                 .with("phase", to_string(row->phase)));
-        hooks_.send_reset(row->route, row->caller, row->caller_acknowledged);
+        if (row->confirmed)
+        {
+            ++tallies_.reset;
+            emit(log_flow("flow_reset", flow)
+                     .with("reason", "server_replaced")
+                     .with("phase", to_string(row->phase)));
+            hooks_.send_reset(row->route, row->caller,
+                              row->caller_acknowledged);
+        }
         remove_flow(now, flow);
     }
 }
@@ -880,6 +904,18 @@
 
 // ---- Flows and their tables
 
+// The opening packet, with the time that it has spent here; its bytes are the
+// row's and must be copied before that is removed.
+auto packet_agent::opening_of(millis now, const owned_flow& row) const
+    -> flow_packet
+{
+    auto out = row.opening;
+    const auto waited = out.label.waited_ms + as_count(now - row.known_since);
+    out.label.waited_ms = static_cast<std::uint16_t>(
+        std::min<std::uint64_t>(waited, packet_label::waited_ms_max));
+    return out;
+}
+
 auto packet_agent::add_flow(millis now, const flow_packet& packet,
                             flow_phase phase) -> owned_flow&
 {
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -5,6 +5,7 @@
 #include "packets/agent/agent_tallies.hpp"
 #include "packets/agent/flow_admission.hpp"
 #include "packets/agent/owned_flow.hpp"
+#include "packets/agent/owner_search.hpp"
 #include "packets/agent/served_server.hpp"
 #include "packets/model/packet_hooks.hpp"
 #include "routing/routing.hpp"
@@ -73,16 +74,6 @@
     auto tallies() const -> const agent_tallies&;
 
 private:
-    // A search for a flow's owner; kept for a while when it was found.
-    struct search
-    {
-        millis since;
-        bool found = false;
-        // Agents that were asked, and those of them that do not hold the flow.
-        std::size_t asked = 0;
-        std::vector<std::uint32_t> denied_by;
-    };
-
     // Opening packets.
     auto on_opening(millis now, const endpoint& from, const flow_packet& packet)
         -> void;
@@ -94,7 +85,8 @@
     auto keep_waiting(millis now, const flow_packet& packet) -> void;
     auto start(millis now, const flow_packet& packet) -> void;
     auto start_waiting(millis now) -> void;
-    auto refuse(const flow_packet& opening, std::string_view reason) -> void;
+    auto refuse(millis now, const flow_packet& opening, std::string_view reason)
+        -> void;
     auto drop_expired(millis now) -> void;
     auto give_up_waiting(millis now) -> void;
 
@@ -107,6 +99,8 @@
         -> void;
     auto relay(const endpoint& from, const flow_packet& packet,
                const redirect_table::row& to) -> bool;
+    auto opens_elsewhere(const owned_flow& row, const flow_packet& packet) const
+        -> bool;
     auto probe_server(millis now, const flow_packet& packet) -> void;
     auto look_for_owner(millis now, const flow_packet& packet) -> void;
     auto on_owned(millis now, const endpoint& from, const flow_packet& notice)
@@ -119,7 +113,7 @@
     auto on_opening_refused(millis now, const flow_key& flow, owned_flow& row)
         -> void;
     auto refuse_foreign_reset(millis now, const flow_key& flow,
-                              const owned_flow* probed) -> void;
+                              const owned_flow* row) -> void;
     auto on_returned(millis now, const flow_packet& packet) -> void;
     auto on_answer(millis now, const flow_key& flow, owned_flow& row,
                    const flow_packet& packet) -> void;
@@ -127,6 +121,7 @@
                            const flow_packet& packet) -> owned_flow&;
 
     // Flows and their tables.
+    auto opening_of(millis now, const owned_flow& row) const -> flow_packet;
     auto set_phase(millis now, owned_flow& row, flow_phase phase) -> void;
     auto add_flow(millis now, const flow_packet& packet, flow_phase phase)
         -> owned_flow&;
@@ -159,7 +154,7 @@
     table<flow_key, owned_flow> flows_;
     redirect_table redirects_;
     held_packets<flow_packet> held_;
-    table<flow_key, search> searches_;
+    owner_search searches_;
     agent_tallies tallies_;
     bool draining_ = false;
     std::uint64_t told_epoch_ = 0;
--- a/modules/packets/model/packet_label.hpp
+++ b/modules/packets/model/packet_label.hpp
@@ -52,6 +52,7 @@
     // Most hops and positions that fit.
     static constexpr std::uint8_t hops_max = 15;
     static constexpr std::uint8_t best_wait_max = 255;
+    static constexpr std::uint16_t waited_ms_max = 65535;
     static constexpr millis best_wait_unit = milliseconds(4);
 
     label_kind kind = label_kind::none;
--- a/tests/fakes/agent_fixture.cpp
+++ b/tests/fakes/agent_fixture.cpp
@@ -138,6 +138,26 @@
     core->on_server_packet(now, out);
 }
 
+auto agent_fixture::accept(std::uint16_t port, std::uint32_t sequence) -> void
+{
+    flow_packet out;
+    out.source = route_address;
+    out.destination = {caller_address, port};
+    out.opens = true;
+    out.acknowledges = true;
+    out.sequence = sequence;
+    core->on_server_packet(now, out);
+}
+
+auto agent_fixture::reset_by_server(std::uint16_t port) -> void
+{
+    flow_packet out;
+    out.source = route_address;
+    out.destination = {caller_address, port};
+    out.resets = true;
+    core->on_server_packet(now, out);
+}
+
 auto agent_fixture::give_back(const flow_packet& packet) -> void
 {
     auto out = packet;
--- a/tests/fakes/agent_fixture.hpp
+++ b/tests/fakes/agent_fixture.hpp
@@ -35,6 +35,9 @@
 
     // The server's packet towards the caller at this port.
     auto answer(std::uint16_t port, bool opens, std::uint16_t payload) -> void;
+    // The server accepts the flow with this position as its own first one.
+    auto accept(std::uint16_t port, std::uint32_t sequence) -> void;
+    auto reset_by_server(std::uint16_t port) -> void;
     auto give_back(const flow_packet& packet) -> void;
 
     // Opens a flow as far as its caller's acknowledgement.
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -335,3 +335,124 @@
     it.receive(it.opening(3));
     CHECK(it.to_server.size() == 2);
 }
+
+TEST_CASE("who has waited so long that a copy may be open gets no reset")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    std::uint16_t port = 1;
+    for (; it.resets.empty() && port < 100; ++port)
+    {
+        auto packet = it.opening(port);
+        packet.label.kind = label_kind::settle;
+        it.receive(packet);
+    }
+    REQUIRE(it.resets.size() == 1);
+    auto packet = it.opening(port);
+    packet.label.kind = label_kind::settle;
+    packet.label.waited_ms = 250;
+    it.receive(packet);
+    CHECK(it.resets.size() == 1);
+}
+
+TEST_CASE("an opening packet that the server gives back late is not reset")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.receive(it.opening(1));
+    REQUIRE(it.to_server.size() == 1);
+    const auto packet = it.to_server.front();
+    SUBCASE("at once: nothing can be open, the caller is told")
+    {
+        it.give_back(packet);
+        CHECK(it.resets.size() == 1);
+    }
+    SUBCASE("after the caller's first copy: it may be open elsewhere")
+    {
+        it.now += milliseconds(250);
+        it.give_back(packet);
+        CHECK(it.resets.empty());
+    }
+}
+
+TEST_CASE("packets that acknowledge another server's handshake go to its owner")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.receive(it.opening(1));
+    it.accept(1, 5000);
+    const auto before = it.to_server.size();
+    auto packet = it.data(1, small_payload);
+    packet.acknowledged = 900'000'001;
+    it.receive(packet);
+    CHECK(it.to_server.size() == before);
+    CHECK(it.count_labelled(label_kind::locate) == 2);
+    CHECK(it.core->admission().busy() == 0);
+}
+
+TEST_CASE("a flow that never opened here is not reset when the server does")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.receive(it.opening(1));
+    it.accept(1, 5000);
+    it.pass(milliseconds(100));
+    const auto sent = it.to_caller.size();
+    SUBCASE("not acknowledged: it may be open at another server")
+    {
+        it.reset_by_server(1);
+        CHECK(it.to_caller.size() == sent);
+    }
+    SUBCASE("acknowledged: it is this server's flow")
+    {
+        auto packet = it.data(1, small_payload);
+        packet.acknowledged = 5001;
+        it.receive(packet);
+        it.reset_by_server(1);
+        CHECK(it.to_caller.size() == sent + 1);
+    }
+}
+
+TEST_CASE("a replaced server's flows that did not open here are left alone")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.receive(it.opening(1));
+    it.accept(1, 5000);
+    it.pass(seconds(3));
+    server_heartbeat next;
+    next.server_id = "other";
+    next.service_name = "orders";
+    next.slots = 2;
+    next.sequence = 1;
+    next.started_at = seconds(50);
+    CHECK(it.core->on_heartbeat(it.now, next) == heartbeat_outcome::replaced);
+    CHECK(it.resets.empty());
+    CHECK(it.core->flow_count() == 0);
+}
+
+// Retry storm after a loss of power: callers retransmit packets of thousands of
+// flows that no server holds any more (a token bucket bounds the searches).
+TEST_CASE("packets of many lost flows do not become a flood of searches")
+{
+    constexpr std::size_t others = 60;
+    agent_fixture it(others);
+    it.heartbeat(1);
+    for (std::uint16_t port = 1; port <= 4000; ++port)
+    {
+        it.receive(it.data(port, small_payload));
+    }
+    // Twice what an agent may send in a second, for a burst.
+    CHECK(it.count_labelled(label_kind::locate) <=
+          2 * owner_search::messages_per_second);
+    CHECK(it.count_labelled(label_kind::locate) >=
+          owner_search::messages_per_second);
+    const auto before = it.count_labelled(label_kind::locate);
+    it.pass(seconds(1));
+    for (std::uint16_t port = 5000; port <= 9000; ++port)
+    {
+        it.receive(it.data(port, small_payload));
+    }
+    CHECK(it.count_labelled(label_kind::locate) > before);
+    CHECK(has_event(it, "event=search_deferred"));
+}
