Flows that a copy opened follow the copy; copies make the balancer probe the silent agent

After the final kill one released agent came back for 1.3 s and then vanished with its VM. It was the home of 5 % of the flows: their first opening packets were lost, a copy opened them elsewhere 200 ms later, and every further packet went to the dead home until it was suspected, 6.3 s later. 146 of 150 failed requests of 36 to 44 s were such.

Change: a balancer that places a copy remembers where it went; packets of open flows pass a suspect home over; a copy makes the balancer probe the agent that left its predecessor unanswered before its turn (at most ten such probes a second).

The rig's server ran whatever came for a flow of which it had seen an opening packet; the protocol opens a flow only where the caller acknowledges the server's position. The rig's servers now have positions and check them, its callers acknowledge them; no check or bound was changed.

--- a/bench/rig/packets/packet_caller.cpp
+++ b/bench/rig/packets/packet_caller.cpp
@@ -115,7 +115,7 @@
     opening.source = caller;
     opening.destination = loads_[it.load].route;
     const auto flow = flow_from_caller(opening);
-    tries_.insert(flow, {number, caller, false, false});
+    tries_.insert(flow, {number, caller, false, false, 0});
     send_opening(flow, 0);
     std::uint8_t copies = 0;
     for (const auto& time : copy_times)
@@ -165,6 +165,7 @@
     out.opens = opens;
     out.copies_before = copies;
     out.acknowledges = !opens;
+    out.acknowledged = opens ? copies : found.server_sequence + 1;
     out.payload_bytes = payload;
     send_(out);
 }
@@ -182,6 +183,7 @@
     {
         if (!std::exchange(found->open, true))
         {
+            found->server_sequence = packet.sequence;
             send(flow, false, 0, request_bytes);
         }
         return;
--- a/bench/rig/packets/packet_caller.hpp
+++ b/bench/rig/packets/packet_caller.hpp
@@ -97,6 +97,8 @@
         endpoint caller;
         bool open = false;
         bool refused = false;
+        // Of the server whose answer to the opening packet came first.
+        std::uint32_t server_sequence = 0;
     };
 
     struct outcome
--- a/bench/rig/packets/packet_fleet.cpp
+++ b/bench/rig/packets/packet_fleet.cpp
@@ -98,7 +98,8 @@
                 caller_->on_refused(flow);
             };
             servers_.push_back(std::make_unique<packet_server>(
-                events_, settings_.server, service.slots, std::move(hooks)));
+                events_, settings_.server, service.slots,
+                static_cast<std::uint32_t>(index), std::move(hooks)));
             make_agent(index);
         }
     }
--- a/bench/rig/packets/packet_server.cpp
+++ b/bench/rig/packets/packet_server.cpp
@@ -10,12 +10,17 @@
 {
 
 constexpr std::uint16_t answer_bytes = 1000;
+// Positions of two servers, or of two lives of one, are this far apart.
+constexpr std::uint32_t sequence_step = 1'000'003;
+constexpr std::uint32_t lives_max = 64;
 
 } // namespace
 
 packet_server::packet_server(event_queue& events, server_model model,
-                             std::uint32_t slots, packet_server_hooks hooks)
-    : events_(events), model_(model), slots_(slots), hooks_(std::move(hooks))
+                             std::uint32_t slots, std::uint32_t number,
+                             packet_server_hooks hooks)
+    : events_(events), model_(model), slots_(slots), number_(number),
+      hooks_(std::move(hooks))
 {
     start();
 }
@@ -88,11 +93,14 @@
     const auto flow = flow_from_caller(packet);
     if (packet.opens)
     {
-        flows_.insert(flow, false);
+        const auto life = static_cast<std::uint32_t>(life_ % lives_max);
+        const auto sequence = (number_ * lives_max + life) * sequence_step;
+        flows_.insert(flow, {sequence, false});
         answer(packet, true, 0);
         return;
     }
-    if (flows_.find(flow) == nullptr)
+    auto* held = flows_.find(flow);
+    if (held == nullptr || packet.acknowledged != held->sequence + 1)
     {
         auto back = packet;
         back.returned = true;
@@ -104,8 +112,7 @@
     {
         return;
     }
-    auto& asked = *flows_.find(flow);
-    if (std::exchange(asked, true))
+    if (std::exchange(held->asked, true))
     {
         return;
     }
@@ -134,6 +141,8 @@
     out.acknowledges = true;
     out.payload_bytes = payload;
     out.closes = payload > 0;
+    const auto* held = flows_.find(flow_from_caller(packet));
+    out.sequence = held == nullptr ? 0 : held->sequence;
     hooks_.send(out);
 }
 
--- a/bench/rig/packets/packet_server.hpp
+++ b/bench/rig/packets/packet_server.hpp
@@ -37,8 +37,9 @@
 class packet_server
 {
 public:
+    // number tells servers apart: their positions in handshakes differ.
     packet_server(event_queue& events, server_model model, std::uint32_t slots,
-                  packet_server_hooks hooks);
+                  std::uint32_t number, packet_server_hooks hooks);
 
     auto on_packet(const flow_packet& packet) -> void;
 
@@ -57,6 +58,14 @@
     auto drain() -> void;
 
 private:
+    // A flow opens here when its caller acknowledges this server's position; a
+    // caller whose opening packet reached two servers acknowledges one of them.
+    struct held_flow
+    {
+        std::uint32_t sequence = 0;
+        bool asked = false;
+    };
+
     auto answer(const flow_packet& packet, bool opens, std::uint16_t payload)
         -> void;
     auto run(const flow_packet& request) -> void;
@@ -65,8 +74,9 @@
     event_queue& events_;
     server_model model_;
     std::uint32_t slots_;
+    std::uint32_t number_;
     packet_server_hooks hooks_;
-    table<flow_key, bool> flows_;
+    table<flow_key, held_flow> flows_;
     std::deque<flow_packet> queue_;
     std::uint32_t running_ = 0;
     std::uint64_t life_ = 0;
--- a/modules/membership/failure/failure_detector.cpp
+++ b/modules/membership/failure/failure_detector.cpp
@@ -13,6 +13,10 @@
 // A member of a large fleet cannot probe all before it judges again.
 constexpr millis recovery_time_max = seconds(10);
 
+// Under overload traffic goes unanswered everywhere; extra probes stay at ten
+// a second, which a VM's narrowest link does not notice.
+constexpr millis extra_probe_interval = milliseconds(100);
+
 // One probe in so many goes to another data centre.
 constexpr std::uint64_t remote_probe_every = 4;
 
@@ -70,6 +74,16 @@
     }
 }
 
+auto failure_detector::probe_now(millis now, member_id id) -> void
+{
+    if (now < next_extra_probe_ || !may_probe(id) || prober_.is_probing(id))
+    {
+        return;
+    }
+    next_extra_probe_ = now + extra_probe_interval;
+    prober_.start(now, id);
+}
+
 auto failure_detector::tick(millis now, bool isolated) -> void
 {
     now_ = now;
--- a/modules/membership/failure/failure_detector.hpp
+++ b/modules/membership/failure/failure_detector.hpp
@@ -43,6 +43,10 @@
     // learns nothing about others from their silence.
     auto tick(millis now, bool isolated) -> void;
 
+    // Traffic went unanswered at a member: it is probed at once instead of in
+    // its turn, unless one such probe was sent a moment ago.
+    auto probe_now(millis now, member_id id) -> void;
+
     // This process was paused: all waiting starts again.
     auto restart(millis now) -> void;
 
@@ -69,6 +73,7 @@
     std::uint64_t probes_ = 0;
     millis now_;
     millis next_probe_;
+    millis next_extra_probe_;
     // Until then this member, cut off a while ago, declares nobody dead.
     millis recovering_until_;
     bool isolated_ = false;
--- a/modules/membership/failure/prober.cpp
+++ b/modules/membership/failure/prober.cpp
@@ -1,5 +1,6 @@
 #include "membership/failure/prober.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace briardrum
@@ -25,6 +26,15 @@
     hooks_.send(subject, probe_message{sequence, subject});
 }
 
+auto prober::is_probing(member_id subject) const -> bool
+{
+    return std::any_of(own_.begin(), own_.end(),
+                       [&](const auto& item)
+                       {
+                           return item.second.subject == subject;
+                       });
+}
+
 auto prober::on_probe(millis now, member_id from, const probe_message& message)
     -> void
 {
--- a/modules/membership/failure/prober.hpp
+++ b/modules/membership/failure/prober.hpp
@@ -33,6 +33,9 @@
     // Probes a member directly.
     auto start(millis now, member_id subject) -> void;
 
+    // True while a probe of this member waits for its answer.
+    auto is_probing(member_id subject) const -> bool;
+
     // Answers a probe, or probes a third member for the sender.
     auto on_probe(millis now, member_id from, const probe_message& message)
         -> void;
--- a/modules/membership/member_view.cpp
+++ b/modules/membership/member_view.cpp
@@ -372,6 +372,11 @@
     return now - last_heard_ > bound;
 }
 
+auto member_view::doubt(millis now, member_id id) -> void
+{
+    failure_.probe_now(now, id);
+}
+
 auto member_view::tick(millis now) -> void
 {
     notice_pause(now);
--- a/modules/membership/member_view.hpp
+++ b/modules/membership/member_view.hpp
@@ -55,6 +55,9 @@
     // Gossips, probes and times out.
     auto tick(millis now) -> void;
 
+    // Traffic sent to a member went unanswered: probes it before its turn.
+    auto doubt(millis now, member_id id) -> void;
+
     // Changes to the own record, each raising its version.
     auto set_state(millis now, member_state state) -> void;
     auto set_weight(millis now, std::uint8_t weight_percent) -> void;
--- a/modules/packets/balancer/packet_balancer.cpp
+++ b/modules/packets/balancer/packet_balancer.cpp
@@ -88,7 +88,7 @@
     const auto flow = flow_from_caller(packet);
     if (packet.opens)
     {
-        place(packet, *found, flow);
+        place(now, packet, *found, flow);
     }
     else
     {
@@ -97,9 +97,10 @@
 }
 
 // A later copy of an opening packet starts its search at another agent, for
-// the home may be unreachable.
-auto packet_balancer::place(const flow_packet& packet, const route& found,
-                            const flow_key& flow) -> void
+// the home may be unreachable. What the copy opens must not depend on the home
+// either: the agent that the copy went to owns the flow or is told who does.
+auto packet_balancer::place(millis now, const flow_packet& packet,
+                            const route& found, const flow_key& flow) -> void
 {
     ++tallies_.opened;
     const auto& service_name = found.service_of(flow);
@@ -111,6 +112,11 @@
         return;
     }
     send(target->address, packet, found, service_name);
+    if (packet.copies_before > 0)
+    {
+        hints_.learn(flow, target->id);
+        doubt_earlier_agent(now, targets, packet, flow);
+    }
     if (hooks_.events)
     {
         hooks_.events(event("flow_placed")
@@ -122,6 +128,20 @@
     }
 }
 
+// The copy says that the agent of the packet before it has not answered.
+auto packet_balancer::doubt_earlier_agent(millis now,
+                                          const service_targets& targets,
+                                          const flow_packet& packet,
+                                          const flow_key& flow) -> void
+{
+    const auto* earlier =
+        targets.place_of(flow, std::size_t{packet.copies_before} - 1);
+    if (earlier != nullptr && hooks_.doubt)
+    {
+        hooks_.doubt(now, earlier->id);
+    }
+}
+
 auto packet_balancer::forward_open_flow(millis now, const flow_packet& packet,
                                         const route& found,
                                         const flow_key& flow) -> void
@@ -167,7 +187,8 @@
                                    const std::string& service_name,
                                    const flow_key& flow) -> void
 {
-    const auto* home = targets_of(service_name).home_of(flow);
+    // A suspect home is passed over; owners tell the next of the order as well.
+    const auto* home = targets_of(service_name).place_of(flow, 0);
     if (home == nullptr)
     {
         ++tallies_.no_agent;
--- a/modules/packets/balancer/packet_balancer.hpp
+++ b/modules/packets/balancer/packet_balancer.hpp
@@ -53,8 +53,11 @@
 
     auto remember_former(millis now, const route_table& next) -> void;
     auto targets_of(const std::string& service_name) -> const service_targets&;
-    auto place(const flow_packet& packet, const route& found,
+    auto place(millis now, const flow_packet& packet, const route& found,
                const flow_key& flow) -> void;
+    auto doubt_earlier_agent(millis now, const service_targets& targets,
+                             const flow_packet& packet, const flow_key& flow)
+        -> void;
     auto forward_open_flow(millis now, const flow_packet& packet,
                            const route& found, const flow_key& flow) -> void;
     auto forward_to_hint(const flow_packet& packet, const route& found,
--- a/modules/packets/model/packet_hooks.hpp
+++ b/modules/packets/model/packet_hooks.hpp
@@ -35,6 +35,8 @@
     // queue, and the time from a request's last packet to its answer's first.
     std::function<void(millis)> waited;
     std::function<void(millis)> answered;
+    // Opening packets sent to this agent went unanswered; may be empty.
+    std::function<void(millis now, member_id agent)> doubt;
     event_sink events;
 };
 
--- a/tests/unit/membership_failure_test.cpp
+++ b/tests/unit/membership_failure_test.cpp
@@ -250,3 +250,26 @@
     CHECK(it.fleet.all_believe(id, member_state::left));
     CHECK(it.fleet.claimed_dead.empty());
 }
+
+// Passive failure detection: callers' copies tell of a dead member before the
+// rotation of probes comes to it.
+TEST_CASE("a member whose traffic goes unanswered is suspect at once")
+{
+    // A direct probe, an indirect one of two timeouts, three rounds of gossip.
+    const membership_settings settings;
+    const auto bound =
+        settings.probe_timeout * 3 + settings.gossip_interval * 3;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        CAPTURE(seed);
+        settled_fleet it(seed);
+        const auto id = it.id(4);
+        it.fleet.stop(4);
+        it.fleet.view(1).doubt(it.fleet.now(), id);
+        CHECK(it.run_until_believed(id, member_state::suspect, bound));
+        // A live one that is doubted answers.
+        it.fleet.view(1).doubt(it.fleet.now(), it.id(5));
+        it.fleet.run(seconds(5));
+        CHECK(it.fleet.claimed_dead.size() == 1);
+    }
+}
--- /dev/null
+++ b/tests/unit/packet_balancer_test.cpp
@@ -0,0 +1,147 @@
+#include "packets/packets.hpp"
+
+#include <doctest/doctest.h>
+#include <memory>
+
+using namespace briardrum;
+
+namespace
+{
+
+constexpr endpoint route_address{0xc6120001, 443};
+constexpr std::uint32_t caller_address = 0x64400001;
+constexpr std::uint32_t agents = 5;
+
+auto record_of(std::uint32_t number, member_kind kind) -> member_record
+{
+    member_record out;
+    out.name = "member-" + std::to_string(number);
+    out.id = member_id_of(out.name);
+    out.life = 1;
+    out.kind = kind;
+    out.state = member_state::ready;
+    out.data_centre = "dc";
+    out.data_address = {0x0a010000 + number, 8000};
+    out.control_address = {0x0a010000 + number, 7000};
+    out.service_name = kind == member_kind::agent ? "orders" : "";
+    return out;
+}
+
+// One balancer before five agents of one service, and where it sent what.
+struct balancer_of_packets
+{
+    balancer_of_packets()
+        : members(record_of(0, member_kind::balancer), {}, {}, {}, 1),
+          core(members, make_hooks())
+    {
+        for (std::uint32_t n = 1; n <= agents; ++n)
+        {
+            tell(record_of(n, member_kind::agent));
+        }
+        auto routes = std::make_shared<route_table>();
+        routes->version = 1;
+        routes->routes[route_address] = {{{"orders", 1}}, 0};
+        core.adopt(now, std::move(routes));
+    }
+
+    auto make_hooks() -> packet_hooks
+    {
+        packet_hooks out;
+        out.send_labelled =
+            [this](const endpoint& to, const flow_packet&, const packet_label&)
+        {
+            sent.push_back(to);
+        };
+        out.doubt = [this](millis, member_id agent)
+        {
+            doubted.push_back(agent);
+        };
+        return out;
+    }
+
+    auto tell(const member_record& record) -> void
+    {
+        control_message message;
+        message.from = record.id;
+        message.from_life = 1;
+        message.body = gossip_message{{record}, false};
+        members.on_control(now, message);
+    }
+
+    // The caller's opening packet after so many copies; where it went.
+    auto open(std::uint16_t port, std::uint8_t copies) -> endpoint
+    {
+        flow_packet packet;
+        packet.source = {caller_address, port};
+        packet.destination = route_address;
+        packet.opens = true;
+        packet.copies_before = copies;
+        core.on_caller_packet(now, packet);
+        return sent.back();
+    }
+
+    auto go_on(std::uint16_t port) -> endpoint
+    {
+        flow_packet packet;
+        packet.source = {caller_address, port};
+        packet.destination = route_address;
+        packet.acknowledges = true;
+        core.on_caller_packet(now, packet);
+        return sent.back();
+    }
+
+    auto suspect(const endpoint& agent) -> void
+    {
+        for (std::uint32_t n = 1; n <= agents; ++n)
+        {
+            auto record = record_of(n, member_kind::agent);
+            if (record.data_address == agent)
+            {
+                record.state = member_state::suspect;
+                auto from = record_of(1 + n % agents, member_kind::agent);
+                control_message message;
+                message.from = from.id;
+                message.from_life = 1;
+                message.body = gossip_message{{record}, false};
+                members.on_control(now, message);
+            }
+        }
+    }
+
+    millis now = seconds(100);
+    member_view members;
+    packet_balancer core;
+    std::vector<endpoint> sent;
+    std::vector<member_id> doubted;
+};
+
+} // namespace
+
+// An agent that died without a word: callers send copies, and the flows that
+// these open must not depend on the dead home.
+TEST_CASE("a flow that a copy opened follows the copy, not the silent home")
+{
+    balancer_of_packets it;
+    for (std::uint16_t port = 1; port <= 50; ++port)
+    {
+        const auto home = it.open(port, 0);
+        const auto other = it.open(port, 1);
+        REQUIRE(other != home);
+        CHECK(it.go_on(port) == other);
+        REQUIRE(it.doubted.size() == port);
+        CHECK(it.members.find(it.doubted.back())->data_address == home);
+    }
+}
+
+TEST_CASE("packets of open flows go past a suspect home to the next")
+{
+    balancer_of_packets it;
+    const auto home = it.open(7, 0);
+    CHECK(it.go_on(7) == home);
+    const auto next = it.open(7, 1);
+    it.suspect(home);
+    // Another balancer's flow: no hint of the copy.
+    balancer_of_packets fresh;
+    fresh.suspect(home);
+    CHECK(fresh.go_on(7) == next);
+}
