Late flows wait for as long as they can be served

Change: late_per_slot 30: late_time over the mean time a request uses a slot. The fresh still go first, the rule for lasting overload is untouched. Test: 'queue bounded in time' (fails with 8). Two tests that counted on 8 now set it themselves.

Ruled out: a queue in front of fresh flows (late ones take idle slots only).

--- a/modules/packets/agent/flow_admission.hpp
+++ b/modules/packets/agent/flow_admission.hpp
@@ -28,9 +28,10 @@
     // Flows older than that wait behind all fresh ones for so long. A caller
     // gives up an opening packet after 1.4 s; its answer still has to reach it.
     millis late_time = milliseconds(1200);
-    // Flows that wait late for each slot. More could not be served before
-    // their callers give up, at the 40 ms a request takes.
-    std::uint32_t late_per_slot = 8;
+    // Flows that wait late for each slot: as many as are served in late_time,
+    // at the 40 ms a request takes. A caller that is refused tries again at
+    // once, and has used up its tries before a slot is free.
+    std::uint32_t late_per_slot = 30;
     // Flows wait late to get over a short peak. When some have waited for all
     // this time, the longest of the users' shorter deadlines, the overload
     // lasts: further ones are refused at once until none waits.
--- a/tests/unit/flow_admission_test.cpp
+++ b/tests/unit/flow_admission_test.cpp
@@ -16,9 +16,9 @@
 }
 
 // Two slots, all taken, with the allowance used up.
-auto full_server() -> flow_admission
+auto full_server(admission_settings settings = {}) -> flow_admission
 {
-    flow_admission out({});
+    flow_admission out(settings);
     out.set_slots(2);
     for (int n = 0; n < 5; ++n)
     {
@@ -111,7 +111,9 @@
 
 TEST_CASE("priority queue: late flows that wait do not hold up an urgent one")
 {
-    auto it = full_server();
+    admission_settings settings;
+    settings.late_per_slot = 8;
+    auto it = full_server(settings);
     const auto now = seconds(10);
     for (std::uint16_t port = 1; port <= 16; ++port)
     {
@@ -123,6 +125,25 @@
     CHECK(it.expected_wait(now, urgent, now) == milliseconds(60));
 }
 
+// Power returns after more than a second and all callers ask at once (a queue
+// bounded in time): who can be served before giving up waits, for a refused
+// caller uses up its tries within milliseconds.
+TEST_CASE("queue bounded in time: all who can be served in late_time may wait")
+{
+    const admission_settings settings;
+    auto it = full_server(settings);
+    const auto now = seconds(10);
+    const auto asked = now - milliseconds(100);
+    const auto can_be_served = static_cast<std::uint16_t>(
+        2 * settings.late_time.count / settings.slot_time_first.count);
+    for (std::uint16_t port = 1; port <= can_be_served; ++port)
+    {
+        REQUIRE(it.settle(now, ordinary, asked) == admission_verdict::wait);
+        it.push(now, flow(port), ordinary, asked);
+    }
+    CHECK(it.settle(now, ordinary, asked) == admission_verdict::refuse);
+}
+
 TEST_CASE("a flow whose caller is about to give up is taken out")
 {
     auto it = full_server();
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -282,7 +282,9 @@
 
 TEST_CASE("only a first opening packet is refused with a reset")
 {
-    agent_fixture it;
+    packet_agent_settings settings;
+    settings.admission.late_per_slot = 8;
+    agent_fixture it(2, settings);
     it.heartbeat(1);
     for (std::uint16_t port = 1; port <= 60; ++port)
     {
