--- a/scripts/lib/packet_site.sh
+++ b/scripts/lib/packet_site.sh
@@ -65,7 +65,7 @@
 wait_for_site_ready() {
     local n
     for ((n = 0; n < 200; n++)); do
-        grep -q site_ready "$site_work/site.log" && return
+        grep -qs site_ready "$site_work/site.log" && return
         sleep 0.1
     done
     return 1
--- a/stand_ins/packet_site/site_callers.cpp
+++ b/stand_ins/packet_site/site_callers.cpp
@@ -185,7 +185,7 @@
     out.flags = flags;
     out.sequence = first_sequence;
     // In an opening packet the field counts its copies.
-    out.acknowledged = flags == wire_packet::syn ? it.copies : 1001;
+    out.acknowledged = flags == wire_packet::syn ? it.copies : it.acknowledged;
     out.payload = payload;
     const auto place = std::hash<endpoint>{}(caller) >> 20U;
     socket_.queue(rotation[place % rotation.size()]) = write_wire_packet(out);
@@ -214,7 +214,10 @@
     }
     if (packet->has(wire_packet::syn))
     {
-        row.open = true;
+        if (!std::exchange(row.open, true))
+        {
+            row.acknowledged = packet->sequence + 1;
+        }
         row.sent_at = clock::now();
         send(found->first, row, wire_packet::ack, row.request);
         return;
--- a/stand_ins/packet_site/site_callers.hpp
+++ b/stand_ins/packet_site/site_callers.hpp
@@ -69,6 +69,8 @@
         millis sent_at;
         std::uint32_t copies = 0;
         bool open = false;
+        // The server's position that the caller acknowledges.
+        std::uint32_t acknowledged = 0;
     };
 
     auto poll() -> void;
--- a/stand_ins/packet_site/site_server.cpp
+++ b/stand_ins/packet_site/site_server.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 
-constexpr std::uint32_t first_sequence = 1000;
 constexpr millis heartbeat_timeout = seconds(1);
 
 } // namespace
@@ -56,6 +55,13 @@
     return drain_heard_;
 }
 
+// Far apart for any two servers, so that a caller's acknowledgement names one.
+auto site_server::first_sequence() const -> std::uint32_t
+{
+    constexpr std::uint32_t step = 1'000'003;
+    return settings_.local.address * step;
+}
+
 auto site_server::send(const wire_packet& packet) -> void
 {
     socket_.queue(settings_.outbound) = write_wire_packet(packet);
@@ -73,7 +79,7 @@
     wire_packet out;
     out.source = packet->destination;
     out.destination = packet->source;
-    out.sequence = first_sequence;
+    out.sequence = first_sequence();
     out.acknowledged = packet->sequence + 1;
     if (packet->has(wire_packet::syn))
     {
@@ -83,7 +89,11 @@
         return;
     }
     const auto it = flows_.find(key);
-    if (it == flows_.end())
+    // A flow opens where its caller acknowledges the server's own position;
+    // another server may have accepted a copy of the opening packet.
+    const auto opens_elsewhere = it != flows_.end() && !it->second.asked &&
+                                 packet->acknowledged != first_sequence() + 1;
+    if (it == flows_.end() || opens_elsewhere)
     {
         auto& back = socket_.queue(settings_.outbound);
         back.assign(bytes.begin(), bytes.end());
@@ -125,7 +135,7 @@
     wire_packet out;
     out.source = request.destination;
     out.destination = request.source;
-    out.sequence = first_sequence + 1;
+    out.sequence = first_sequence() + 1;
     out.acknowledged =
         request.sequence + static_cast<std::uint32_t>(request.payload.size());
     out.flags = wire_packet::ack | wire_packet::fin;
--- a/stand_ins/packet_site/site_server.hpp
+++ b/stand_ins/packet_site/site_server.hpp
@@ -49,6 +49,7 @@
         bool asked = false;
     };
 
+    auto first_sequence() const -> std::uint32_t;
     auto on_packet(byte_view bytes) -> void;
     auto send(const wire_packet& packet) -> void;
     auto answer(const wire_packet& request) -> void;
