--- a/tests/fakes/agent_fixture.cpp
+++ b/tests/fakes/agent_fixture.cpp
@@ -126,12 +126,18 @@
     core->on_packet(now, balancer_address, packet);
 }
 
-auto agent_fixture::answer(std::uint16_t port, bool opens,
-                           std::uint16_t payload) -> void
+auto agent_fixture::from_server(std::uint16_t port) const -> flow_packet
 {
     flow_packet out;
     out.source = route_address;
     out.destination = {caller_address, port};
+    return out;
+}
+
+auto agent_fixture::answer(std::uint16_t port, bool opens,
+                           std::uint16_t payload) -> void
+{
+    auto out = from_server(port);
     out.opens = opens;
     out.acknowledges = true;
     out.payload_bytes = payload;
@@ -140,9 +146,7 @@
 
 auto agent_fixture::accept(std::uint16_t port, std::uint32_t sequence) -> void
 {
-    flow_packet out;
-    out.source = route_address;
-    out.destination = {caller_address, port};
+    auto out = from_server(port);
     out.opens = true;
     out.acknowledges = true;
     out.sequence = sequence;
@@ -151,9 +155,7 @@
 
 auto agent_fixture::reset_by_server(std::uint16_t port) -> void
 {
-    flow_packet out;
-    out.source = route_address;
-    out.destination = {caller_address, port};
+    auto out = from_server(port);
     out.resets = true;
     core->on_server_packet(now, out);
 }
--- a/tests/fakes/agent_fixture.hpp
+++ b/tests/fakes/agent_fixture.hpp
@@ -32,6 +32,8 @@
         -> flow_packet;
     auto data(std::uint16_t port, std::uint16_t payload) const -> flow_packet;
     auto receive(const flow_packet& packet) -> void;
+    // A bare packet of the server towards the caller at this port.
+    auto from_server(std::uint16_t port) const -> flow_packet;
 
     // The server's packet towards the caller at this port.
     auto answer(std::uint16_t port, bool opens, std::uint16_t payload) -> void;
