A server that is silent about a flow is shown no more of its packets

A copy had opened the flow at its server; agents had been killed in between. An agent that was restarted shows an unknown flow's packet to its server and takes silence for 'held': each further packet went the same way.

Change: after 150 ms of silence the flow is looked for instead; an owner that answers replaces the probe. Test in packet_agent_test.cpp fails on the code before (4 of 6 checks). Paused processes of a soak that is ended are resumed so that they end.

Ruled out: a search that was deferred (no packet would have reached a server).

--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -32,6 +32,10 @@
 // first acknowledgement of a server's handshake is no further from its
 // position.
 constexpr std::uint32_t handshake_window = 16 * 1200;
+// A server that holds a flow it was shown a packet of answers before the caller
+// retransmits, 200 ms later; one that only accepted its opening packet is
+// silent.
+constexpr millis probe_answer_max = milliseconds(150);
 // Most hops of a packet between agents.
 constexpr std::uint8_t relay_hops_max = 4;
 
@@ -391,6 +395,12 @@
         {
             answer_locate(from, packet, label_kind::owned);
         }
+        if (row->phase == flow_phase::probing &&
+            now - row->phase_since > probe_answer_max)
+        {
+            give_up_probe(now, packet);
+            return;
+        }
         deliver(now, flow, *row, packet);
         return;
     }
@@ -526,6 +536,18 @@
     hooks_.send_to_server(packet);
 }
 
+// The server was shown a packet of the flow and said nothing: it may not be the
+// flow's. What it was shown stays valid; no more is handed to it on a guess.
+auto packet_agent::give_up_probe(millis now, const flow_packet& packet) -> void
+{
+    if (packet.label.kind == label_kind::locate)
+    {
+        ++tallies_.dropped;
+        return;
+    }
+    look_for_owner(now, packet);
+}
+
 auto packet_agent::look_for_owner(millis now, const flow_packet& packet) -> void
 {
     const auto flow = flow_from_caller(packet);
@@ -573,6 +595,11 @@
     }
     const auto flow = flow_from_caller(notice);
     redirects_.set(now, {flow, owner->id, owner->life, 0});
+    const auto* probed = flows_.find(flow);
+    if (probed != nullptr && probed->phase == flow_phase::probing)
+    {
+        remove_flow(now, flow);
+    }
     if (!searches_.found(flow))
     {
         return;
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -102,6 +102,7 @@
     auto opens_elsewhere(const owned_flow& row, const flow_packet& packet) const
         -> bool;
     auto probe_server(millis now, const flow_packet& packet) -> void;
+    auto give_up_probe(millis now, const flow_packet& packet) -> void;
     auto look_for_owner(millis now, const flow_packet& packet) -> void;
     auto on_owned(millis now, const endpoint& from, const flow_packet& notice)
         -> void;
--- a/scripts/lib/packet_site.sh
+++ b/scripts/lib/packet_site.sh
@@ -80,6 +80,8 @@
     local pid
     for pid in "${site_pids[@]}"; do
         kill "$pid" 2>/dev/null || true
+        # A paused process ends once it runs.
+        kill -CONT "$pid" 2>/dev/null || true
     done
     for pid in "${site_pids[@]}"; do
         wait "$pid" 2>/dev/null || true
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -458,3 +458,27 @@
     CHECK(it.count_labelled(label_kind::locate) > before);
     CHECK(has_event(it, "event=search_deferred"));
 }
+
+// The agent was killed and has forgotten that its server only accepted a copy
+// of the opening packet; the server says nothing of packets it is shown.
+TEST_CASE(
+    "a server that is silent about a flow is shown no more of its packets")
+{
+    agent_fixture it;
+    it.heartbeat(40);
+    it.receive(it.data(1, small_payload));
+    REQUIRE(it.to_server.size() == 1);
+    for (int n = 0; n < 3; ++n)
+    {
+        it.pass(milliseconds(200));
+        it.receive(it.data(1, small_payload));
+    }
+    CHECK(it.to_server.size() == 1);
+    CHECK(it.count_labelled(label_kind::locate) >= 2);
+    it.notice(1, label_kind::owned, 2);
+    it.receive(it.data(1, small_payload));
+    CHECK(it.to_server.size() == 1);
+    REQUIRE_FALSE(it.sent.empty());
+    CHECK(it.sent.back().label.kind == label_kind::relay);
+    CHECK(it.sent.back().to == it.address_of(2));
+}
