Who is asked for a flow in a search does not search as well

An agent that was restarted shows a packet it is asked for to its server; when the server gave it back, the agent searched itself: one search became one of all agents for all, 60 times 60 messages.

Change: a packet that came by a search and was given back ends there. Test fails on the code before (3 of 4 checks).

Ruled out: a larger bound (the echoes would fill any).

--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -797,6 +797,7 @@
     const auto confirmed = row->confirmed;
     const auto acknowledged = row->caller_acknowledged;
     const auto phase = row->phase;
+    const auto asked = row->opening.label.kind == label_kind::locate;
     if (packet.opens && phase != flow_phase::opening)
     {
         return;
@@ -827,6 +828,13 @@
         hooks_.send_reset(route, flow.caller, acknowledged);
         return;
     }
+    // Whoever asked is searching already; a search by everyone who was asked
+    // would be one of all for all.
+    if (asked)
+    {
+        ++tallies_.dropped;
+        return;
+    }
     look_for_owner(now, again);
 }
 
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -482,3 +482,20 @@
     CHECK(it.sent.back().label.kind == label_kind::relay);
     CHECK(it.sent.back().to == it.address_of(2));
 }
+
+TEST_CASE("who is asked for a flow in a search does not search as well")
+{
+    agent_fixture it;
+    it.heartbeat(40);
+    auto asked = it.data(1, small_payload);
+    asked.label.kind = label_kind::locate;
+    it.core->on_packet(it.now, it.address_of(1), asked);
+    REQUIRE(it.to_server.size() == 1);
+    it.give_back(it.to_server.front());
+    CHECK(it.count_labelled(label_kind::locate) == 0);
+    CHECK(it.core->tallies().searched == 0);
+    // A caller's own packet is looked for.
+    it.receive(it.data(2, small_payload));
+    it.give_back(it.to_server.back());
+    CHECK(it.count_labelled(label_kind::locate) == 2);
+}
