Agent of packet flows split by job; no behaviour changed

Change: agent_state holds what the parts share (settings, hooks, server, members, tables) and keeps the slots in step with the phases; flow_opener places, queues and refuses; open_flow_router delivers, relays and probes; owner_locator searches; server_packet_handler takes what the server sends; ownership_notices announces; flow_expiry releases and removes. packet_agent joins them; its interface is as before. forward_offer(), on_returned() and expire_flows() are split into their steps, and the two places that reset a confirmed flow use one function.

Ruled out: parts with tables of their own; every decision reads the flow table, the slots and the members, so each would have called back into the others.

--- /dev/null
+++ b/modules/packets/agent/open_flow_router.cpp
@@ -0,0 +1,179 @@
+#include "packets/agent/open_flow_router.hpp"
+
+namespace briardrum
+{
+
+namespace
+{
+
+// Both ends have at most 16 packets of 1,200 bytes in flight, so the first
+// acknowledgement of a handshake by the caller is at most this far from the
+// initial sequence number of the server.
+constexpr std::uint32_t handshake_window = 16 * 1200;
+// A server that holds a probed flow answers before the caller retransmits, 200
+// ms later. A server that has only accepted the opening packet stays silent.
+constexpr millis probe_timeout = milliseconds(150);
+
+} // namespace
+
+open_flow_router::open_flow_router(agent_state& state, flow_opener& opener,
+                                   owner_locator& locator,
+                                   ownership_notices& notices)
+    : state_(state), opener_(opener), locator_(locator), notices_(notices)
+{
+}
+
+auto open_flow_router::on_packet(millis now, const endpoint& from,
+                                 const flow_packet& packet) -> void
+{
+    const auto flow = flow_from_caller(packet);
+    if (auto* row = state_.flows.find(flow))
+    {
+        if (packet.label.kind == label_kind::locate &&
+            row->phase != flow_phase::probing)
+        {
+            notices_.answer(from, packet, label_kind::owned);
+        }
+        if (row->phase == flow_phase::probing &&
+            now - row->phase_since > probe_timeout)
+        {
+            abandon_probe(now, packet);
+            return;
+        }
+        deliver(now, flow, *row, packet);
+        return;
+    }
+    on_unknown_flow(now, from, packet);
+}
+
+auto open_flow_router::on_unknown_flow(millis now, const endpoint& from,
+                                       const flow_packet& packet) -> void
+{
+    const auto flow = flow_from_caller(packet);
+    if (packet.label.kind == label_kind::locate)
+    {
+        if (state_.may_have_unknown_flows(now))
+        {
+            probe_server(now, packet);
+        }
+        else
+        {
+            notices_.answer(from, packet, label_kind::unowned);
+        }
+        return;
+    }
+    const auto* owner = state_.redirects.touch(now, flow);
+    if (owner != nullptr)
+    {
+        if (state_.relay(from, packet, *owner))
+        {
+            return;
+        }
+        state_.redirects.erase(flow);
+    }
+    if (state_.may_have_unknown_flows(now) && !locator_.has_recent_search(flow))
+    {
+        probe_server(now, packet);
+        return;
+    }
+    locator_.search(now, packet);
+}
+
+auto open_flow_router::deliver(millis now, const flow_key& flow,
+                               owned_flow& row, const flow_packet& packet)
+    -> void
+{
+    if (row.phase == flow_phase::waiting)
+    {
+        // The server has not seen this flow, so the packet belongs to an older
+        // flow.
+        ++state_.counters.dropped;
+        return;
+    }
+    if (is_open_at_another_server(row, packet))
+    {
+        state_.emit(state_.flow_event("flow_not_ours", flow)
+                        .with("phase", to_string(row.phase))
+                        .with("reason", "handshake_of_another_server"));
+        state_.remove_flow(now, flow);
+        opener_.start_queued_flows(now);
+        locator_.search(now, packet);
+        return;
+    }
+    row.last_used = now;
+    if (packet.acknowledges)
+    {
+        row.confirmed = row.confirmed || row.server_sequence.has_value();
+        row.caller_acknowledged = packet.acknowledged;
+    }
+    if (packet.payload_bytes > 0)
+    {
+        note_request(now, row, packet);
+    }
+    row.caller_closed = row.caller_closed || packet.closes;
+    state_.hooks.send_to_server(packet);
+    if (packet.resets)
+    {
+        state_.remove_flow(now, flow);
+        opener_.start_queued_flows(now);
+    }
+}
+
+// An opening packet and its retransmission may reach two servers that both
+// accept it. The flow is open at the server whose answer the caller
+// acknowledges.
+auto open_flow_router::is_open_at_another_server(
+    const owned_flow& row, const flow_packet& packet) const -> bool
+{
+    if (row.confirmed || !packet.acknowledges ||
+        !row.server_sequence.has_value())
+    {
+        return false;
+    }
+    return packet.acknowledged - *row.server_sequence > handshake_window;
+}
+
+// A full packet is followed by more of the request: the server starts to work
+// once the last packet, which is not full, has arrived.
+auto open_flow_router::note_request(millis now, owned_flow& row,
+                                    const flow_packet& packet) -> void
+{
+    const auto more_follows =
+        packet.payload_bytes >= state_.settings.full_payload_bytes;
+    const auto phase =
+        more_follows ? flow_phase::receiving : flow_phase::asking;
+    if (row.phase == phase || row.phase == flow_phase::probing)
+    {
+        return;
+    }
+    state_.set_phase(now, row, phase);
+    if (more_follows)
+    {
+        opener_.start_queued_flows(now);
+    }
+}
+
+auto open_flow_router::probe_server(millis now, const flow_packet& packet)
+    -> void
+{
+    state_.add_flow(now, packet, flow_phase::probing);
+    state_.emit(state_.flow_event("server_probed", flow_from_caller(packet))
+                    .with("kind", to_string(packet.label.kind)));
+    state_.hooks.send_to_server(packet);
+}
+
+// The server has not responded to a packet of the flow, so it may not hold the
+// flow. Packets that it has already received remain valid, but no more are
+// delivered to it speculatively.
+auto open_flow_router::abandon_probe(millis now, const flow_packet& packet)
+    -> void
+{
+    if (packet.label.kind == label_kind::locate)
+    {
+        ++state_.counters.dropped;
+        return;
+    }
+    locator_.search(now, packet);
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/packets/agent/server_packet_handler.cpp
@@ -0,0 +1,201 @@
+#include "packets/agent/server_packet_handler.hpp"
+
+namespace briardrum
+{
+
+server_packet_handler::server_packet_handler(agent_state& state,
+                                             flow_opener& opener,
+                                             owner_locator& locator,
+                                             ownership_notices& notices)
+    : state_(state), opener_(opener), locator_(locator), notices_(notices)
+{
+}
+
+auto server_packet_handler::on_packet(millis now, const flow_packet& packet)
+    -> void
+{
+    state_.server.on_packet(now);
+    if (packet.returned)
+    {
+        on_returned(now, packet);
+        return;
+    }
+    const auto flow = flow_from_server(packet);
+    auto* row = state_.flows.find(flow);
+    const auto known_here = row != nullptr && row->phase != flow_phase::probing;
+    if (packet.resets && !known_here)
+    {
+        withhold_reset(now, flow, row);
+        return;
+    }
+    if (row == nullptr)
+    {
+        row = &adopt_from_server(now, flow, packet);
+    }
+    if (packet.resets && row->phase == flow_phase::opening && !row->confirmed)
+    {
+        opener_.on_opening_refused(now, flow, *row);
+        return;
+    }
+    if (packet.resets && !row->confirmed)
+    {
+        withhold_reset(now, flow, row);
+        return;
+    }
+    state_.hooks.send_to_caller(packet);
+    on_answer(now, flow, *row, packet);
+}
+
+// A server may answer with a reset if it received a probe for a flow that it
+// does not hold, or accepted an opening packet whose flow was opened at another
+// server. The owner of the flow still serves it.
+auto server_packet_handler::withhold_reset(millis now, const flow_key& flow,
+                                           const owned_flow* row) -> void
+{
+    ++state_.counters.dropped;
+    state_.emit(
+        state_.flow_event("reset_withheld", flow)
+            .with("reason", "flow_not_held")
+            .with("phase", row == nullptr ? "unknown" : to_string(row->phase)));
+    if (row != nullptr)
+    {
+        state_.remove_flow(now, flow);
+        opener_.start_queued_flows(now);
+    }
+}
+
+auto server_packet_handler::on_answer(millis now, const flow_key& flow,
+                                      owned_flow& row,
+                                      const flow_packet& packet) -> void
+{
+    row.last_used = now;
+    if (packet.opens)
+    {
+        row.server_sequence = packet.sequence;
+        state_.server.on_opening_answered(now);
+        return;
+    }
+    if (row.phase == flow_phase::probing)
+    {
+        state_.set_phase(now, row, flow_phase::idle);
+        notices_.announce(flow, row);
+    }
+    row.confirmed = true;
+    row.server_closed = row.server_closed || packet.closes;
+    const auto answers = packet.payload_bytes > 0 || packet.closes;
+    if (answers && row.phase == flow_phase::receiving)
+    {
+        state_.set_phase(now, row, flow_phase::idle);
+    }
+    if (answers && row.phase == flow_phase::asking)
+    {
+        if (state_.hooks.record_answer_time)
+        {
+            state_.hooks.record_answer_time(now - row.phase_since);
+        }
+        state_.set_phase(now, row, flow_phase::idle);
+        opener_.start_queued_flows(now);
+    }
+    if (packet.resets)
+    {
+        state_.remove_flow(now, flow);
+        opener_.start_queued_flows(now);
+    }
+}
+
+// Adds a flow that was opened before this agent started.
+auto server_packet_handler::adopt_from_server(millis now, const flow_key& flow,
+                                              const flow_packet& packet)
+    -> owned_flow&
+{
+    auto& row = state_.flows.insert(flow);
+    row.caller = packet.destination;
+    row.route = packet.source;
+    row.phase = flow_phase::idle;
+    row.phase_since = now;
+    row.known_since = now;
+    row.last_used = now;
+    state_.emit(state_.flow_event("flow_adopted", flow));
+    notices_.announce(flow, row);
+    return row;
+}
+
+auto server_packet_handler::on_returned(millis now, const flow_packet& packet)
+    -> void
+{
+    ++state_.counters.returned;
+    const auto flow = flow_from_caller(packet);
+    const auto* found = state_.flows.find(flow);
+    if (found == nullptr ||
+        (packet.opens && found->phase != flow_phase::opening))
+    {
+        return;
+    }
+    const auto row = *found;
+    auto again = packet;
+    again.returned = false;
+    again.label = state_.opening_of(now, row).label;
+    again.label.service = state_.tag;
+    again.label.kind = label_kind::relay;
+    state_.remove_flow(now, flow);
+    if (packet.opens)
+    {
+        opener_.on_returned(now, again);
+        return;
+    }
+    if (row.confirmed)
+    {
+        reset_flow(flow, row, "server_lost_flow");
+        return;
+    }
+    // The agent that asked is already searching. If every agent that was asked
+    // searched as well, one search would cause messages from all agents to all
+    // others.
+    if (row.opening.label.kind == label_kind::locate)
+    {
+        ++state_.counters.dropped;
+        return;
+    }
+    locator_.search(now, again);
+}
+
+auto server_packet_handler::reset_flow(const flow_key& flow,
+                                       const owned_flow& row,
+                                       std::string_view reason) -> void
+{
+    ++state_.counters.reset;
+    state_.emit(state_.flow_event("flow_reset", flow)
+                    .with("reason", reason)
+                    .with("phase", to_string(row.phase)));
+    state_.hooks.send_reset(row.route, row.caller, row.caller_acknowledged);
+}
+
+// Removes the flows of a server incarnation that has ended. Callers whose flows
+// were open are reset at once, so that they can retry. A flow young enough to
+// be open at the new incarnation, from before its first heartbeat, is kept and
+// left to the server to accept or reset.
+auto server_packet_handler::drop_server_flows(millis now) -> void
+{
+    const auto announced_within = state_.settings.heartbeat_interval * 2;
+    std::vector<flow_key> lost;
+    for (const auto& [flow, row] : state_.flows.rows())
+    {
+        const auto closed = row.caller_closed && row.server_closed;
+        const auto older = now - row.known_since > announced_within;
+        if (row.phase != flow_phase::waiting && !closed && older)
+        {
+            lost.push_back(flow);
+        }
+    }
+    for (const auto& flow : lost)
+    {
+        const auto* row = state_.flows.find(flow);
+        if (row->confirmed)
+        {
+            reset_flow(flow, *row, "server_replaced");
+        }
+        state_.remove_flow(now, flow);
+    }
+}
+
+} // namespace briardrum
