--- a/bench/rig/packets/packet_fleet.cpp
+++ b/bench/rig/packets/packet_fleet.cpp
@@ -31,6 +31,14 @@
     return {agent_network + static_cast<std::uint32_t>(index) + 1, packet_port};
 }
 
+// Members are told of records and not probed, so none is ever isolated.
+auto view_settings() -> membership_settings
+{
+    membership_settings out;
+    out.probe_interval = minutes(10);
+    return out;
+}
+
 auto data_centre_of(std::size_t index) -> std::string
 {
     return "dc-" + std::to_string(index % data_centres);
@@ -135,6 +143,7 @@
         is_agent ? agent_address(index) : balancer_address(index);
     out.control_address = {out.data_address.address, member_port};
     out.service_name = service_name;
+    out.slots = is_agent ? 1 : 0;
     return out;
 }
 
@@ -144,8 +153,8 @@
     const auto record = make_record(index, member_kind::balancer, "");
     it.core.reset();
     it.members = std::make_unique<member_view>(
-        record, std::vector<endpoint>{}, membership_settings{},
-        membership_hooks{}, random_.bits());
+        record, std::vector<endpoint>{}, view_settings(), membership_hooks{},
+        random_.bits());
     packet_hooks hooks;
     const auto from = record.data_address;
     hooks.send_labelled = [this, from](const endpoint& to,
@@ -161,6 +170,11 @@
     {
         on_reset(route, caller);
     };
+    hooks.send_control =
+        [this, from](const endpoint& to, const control_message& message)
+    {
+        arrive_control(from, to, message);
+    };
     it.core = std::make_unique<packet_balancer>(*it.members, std::move(hooks));
     it.core->adopt(events_.now(), routes_);
     introduce(*it.members);
@@ -175,6 +189,14 @@
     it.up = true;
     it.core.reset();
     membership_hooks member_hooks;
+    member_hooks.heard_of_departed =
+        [this, index](millis now, const member_record& gone)
+    {
+        if (agents_[index]->core != nullptr)
+        {
+            agents_[index]->core->on_member_departed(now, gone);
+        }
+    };
     member_hooks.changed =
         [this, id = record.id](const member_record& after, const member_record*)
     {
@@ -184,7 +206,7 @@
         }
     };
     it.members = std::make_unique<member_view>(
-        record, std::vector<endpoint>{}, membership_settings{},
+        record, std::vector<endpoint>{}, view_settings(),
         std::move(member_hooks), random_.bits());
     auto agent_settings = settings_.agent;
     agent_settings.service_name = it.service_name;
@@ -225,6 +247,11 @@
         notice.label = label;
         arrive(from, to, notice);
     };
+    out.send_control =
+        [this, from](const endpoint& to, const control_message& message)
+    {
+        arrive_control(from, to, message);
+    };
     out.send_to_server = [this, agent_index](const flow_packet& packet)
     {
         for (const auto& load : settings_.loads)
@@ -379,6 +406,35 @@
                   });
 }
 
+auto packet_fleet::arrive_control(const endpoint& from, const endpoint& to,
+                                  const control_message& message) -> void
+{
+    ++messages_;
+    if (random_.chance(settings_.loss))
+    {
+        return;
+    }
+    events_.after(
+        delay_between(from, to),
+        [this, to, message]
+        {
+            if (to.address >= agent_network)
+            {
+                const auto index = to.address - agent_network - 1;
+                if (index < agents_.size() && agents_[index]->up)
+                {
+                    agents_[index]->core->on_control(events_.now(), message);
+                }
+                return;
+            }
+            const auto index = to.address - balancer_network - 1;
+            if (index < balancers_.size() && balancers_[index]->core != nullptr)
+            {
+                balancers_[index]->core->on_control(message);
+            }
+        });
+}
+
 // The fabric: the flow's hash modulo the balancers in rotation.
 auto packet_fleet::from_caller(const flow_packet& packet) -> void
 {
--- a/bench/rig/packets/packet_fleet.hpp
+++ b/bench/rig/packets/packet_fleet.hpp
@@ -109,6 +109,8 @@
         -> void;
     auto arrive(const endpoint& from, const endpoint& to,
                 const flow_packet& packet) -> void;
+    auto arrive_control(const endpoint& from, const endpoint& to,
+                        const control_message& message) -> void;
     auto from_caller(const flow_packet& packet) -> void;
     auto to_caller(const flow_packet& packet, std::size_t agent_index) -> void;
     auto on_reset(const endpoint& route, const endpoint& caller) -> void;
--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -28,6 +28,11 @@
       protocol_(std::move(protocol)),
       store_(open(process_.context(), process_.events())),
       from_server_(process_.context()),
+      presence_(process_.context(), settings.server,
+                [this](millis now, millis started)
+                {
+                    core_.on_server_not_found(now, started);
+                }),
       heartbeats_(process_.context(),
                   [this](const http_request& request)
                   {
@@ -46,6 +51,10 @@
         process_.format().write(packet, {},
                                 from_server_.queue(settings_.server));
     };
+    out.look_for_server = [this](millis now)
+    {
+        presence_.check(now);
+    };
     out.record_queue_wait = [this](millis span)
     {
         waits_.add(span);
@@ -94,6 +103,14 @@
     {
         core_.on_packet(clock::now(), from, packet);
     };
+    out.on_control = [this](const control_message& message)
+    {
+        core_.on_control(clock::now(), message);
+    };
+    out.on_member_departed = [this](millis now, const member_record& record)
+    {
+        core_.on_member_departed(now, record);
+    };
     out.is_ready = [this]
     {
         return core_.server().is_known();
@@ -180,6 +197,9 @@
     out.counter("searches_found_total", it.searches_found);
     out.counter("searches_failed_total", it.searches_failed);
     out.counter("searches_deferred_total", it.searches_deferred);
+    out.counter("flows_lost_total", it.lost);
+    out.counter("flows_undecided_total", it.undecided);
+    out.counter("flow_queries_total", it.flow_queries);
     out.counter("packets_returned_total", it.returned);
     out.counter("packets_wrong_service_total", it.wrong_service);
     out.counter("packets_dropped_total", it.dropped);
--- a/modules/io/daemons/packet_agent_daemon.hpp
+++ b/modules/io/daemons/packet_agent_daemon.hpp
@@ -2,6 +2,7 @@
 #define BRIARDRUM_IO_DAEMONS_PACKET_AGENT_DAEMON_HPP
 
 #include "io/daemons/packet_process.hpp"
+#include "io/server/server_presence.hpp"
 
 #include <variant>
 
@@ -50,6 +51,7 @@
     latency_histogram waits_;
     latency_histogram answers_;
     udp_socket from_server_;
+    server_presence presence_;
     http_server heartbeats_;
     packet_agent core_;
     std::uint64_t bad_heartbeats_ = 0;
--- a/modules/io/daemons/packet_balancer_daemon.cpp
+++ b/modules/io/daemons/packet_balancer_daemon.cpp
@@ -41,6 +41,10 @@
     {
         on_packet(packet);
     };
+    out.on_control = [this](const control_message& message)
+    {
+        core_.on_control(message);
+    };
     out.is_ready = [this]
     {
         return core_.is_ready();
--- a/modules/io/daemons/packet_process.cpp
+++ b/modules/io/daemons/packet_process.cpp
@@ -79,7 +79,14 @@
                 {
                     send_control(to, message);
                 },
-                nullptr, loop_.log().sink()},
+                nullptr, loop_.log().sink(),
+                [this](millis now, const member_record& record)
+                {
+                    if (hooks_.on_member_departed)
+                    {
+                        hooks_.on_member_departed(now, record);
+                    }
+                }},
                member_id_of(settings_.name))
 {
 }
@@ -97,6 +104,8 @@
     out.data_address = settings_.packets;
     out.control_address = settings_.members;
     out.service_name = settings_.service_name;
+    // An agent without slots is one whose server has left.
+    out.slots = settings_.kind == member_kind::agent ? 1 : 0;
     return out;
 }
 
--- a/modules/io/daemons/packet_process.hpp
+++ b/modules/io/daemons/packet_process.hpp
@@ -26,7 +26,10 @@
     process_loop_hooks loop;
     // A packet at the process's packet address.
     std::function<void(const endpoint& from, const flow_packet&)> on_packet;
+    // A control message that is not about membership; may be empty.
     std::function<void(const control_message&)> on_control;
+    // An agent that departed before this process knew it; may be empty.
+    std::function<void(millis now, const member_record&)> on_member_departed;
     std::function<bool()> is_ready;
     std::function<void(metrics_text&)> metrics;
 };
--- a/modules/membership/member_view.cpp
+++ b/modules/membership/member_view.cpp
@@ -172,6 +172,11 @@
     {
         gossiper_.on_received(update.id);
     }
+    else if (result.outcome == merge_outcome::unknown_not_live &&
+             update.kind == member_kind::agent && hooks_.heard_of_departed)
+    {
+        hooks_.heard_of_departed(now, update);
+    }
     return result.outcome;
 }
 
@@ -540,6 +545,16 @@
     return members_.balancers();
 }
 
+auto member_view::live() const -> std::span<const member_id>
+{
+    return members_.live();
+}
+
+auto member_view::agents_digest() const -> std::uint64_t
+{
+    return members_.agents_digest();
+}
+
 auto member_view::epoch() const -> std::uint64_t
 {
     return members_.epoch();
--- a/modules/membership/member_view.hpp
+++ b/modules/membership/member_view.hpp
@@ -28,6 +28,10 @@
     std::function<void(const member_record& after, const member_record* before)>
         changed;
     event_sink events;
+    // Called for an agent that has left or died and was not known before, which
+    // gets no record; may be empty.
+    std::function<void(millis now, const member_record&)> heard_of_departed =
+        nullptr;
 };
 
 // One process's view of all members, itself included.
@@ -102,6 +106,13 @@
     // Returns the balancers that have not left or died, sorted by id.
     auto balancers() const -> std::span<const member_id>;
 
+    // Returns the live members, this one included, sorted by id.
+    auto live() const -> std::span<const member_id>;
+
+    // Digest of the ids and incarnations of all live agents. Two members with
+    // the same digest know the same agents.
+    auto agents_digest() const -> std::uint64_t;
+
     // Incremented whenever a record changes in a way that affects routing.
     auto epoch() const -> std::uint64_t;
 
--- a/modules/membership/records/member_table.cpp
+++ b/modules/membership/records/member_table.cpp
@@ -1,6 +1,7 @@
 #include "membership/records/member_table.hpp"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace briardrum
 {
@@ -55,6 +56,12 @@
     return copy == b;
 }
 
+auto digest_of(const member_record& record) -> std::uint64_t
+{
+    const std::uint64_t words[] = {record.id, record.incarnation};
+    return XXH64(words, sizeof(words), 0);
+}
+
 } // namespace
 
 auto is_live(member_state state) -> bool
@@ -163,6 +170,7 @@
     else
     {
         insert_sorted(agents_[record.service_name], record.id);
+        agents_digest_ ^= digest_of(record);
     }
 }
 
@@ -181,6 +189,7 @@
     else
     {
         erase_sorted(agents_, record.service_name, record.id);
+        agents_digest_ ^= digest_of(record);
     }
 }
 
@@ -223,6 +232,11 @@
     return data_centres_;
 }
 
+auto member_table::agents_digest() const -> std::uint64_t
+{
+    return agents_digest_;
+}
+
 auto member_table::epoch() const -> std::uint64_t
 {
     return epoch_;
--- a/modules/membership/records/member_table.hpp
+++ b/modules/membership/records/member_table.hpp
@@ -68,6 +68,10 @@
     auto data_centres() const
         -> const std::map<std::string, std::vector<member_id>>&;
 
+    // Digest of the ids and incarnations of all live agents. Two tables with
+    // the same digest know the same agents.
+    auto agents_digest() const -> std::uint64_t;
+
     auto epoch() const -> std::uint64_t;
 
 private:
@@ -82,6 +86,7 @@
     std::map<std::string, std::vector<member_id>> data_centres_;
     std::vector<member_id> balancers_;
     std::vector<member_id> live_;
+    std::uint64_t agents_digest_ = 0;
     std::uint64_t epoch_ = 0;
 };
 
--- /dev/null
+++ b/modules/packets/agent/agent_census.cpp
@@ -0,0 +1,145 @@
+#include "packets/agent/agent_census.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace briardrum
+{
+
+agent_census::agent_census(const member_view& members, millis flow_lifetime,
+                           millis started_at)
+    : members_(members), flow_lifetime_(flow_lifetime), started_at_(started_at)
+{
+}
+
+auto agent_census::refresh(millis now) -> void
+{
+    if (members_.epoch() == epoch_)
+    {
+        return;
+    }
+    epoch_ = members_.epoch();
+    if (members_.agents_digest() != digest_)
+    {
+        digest_ = members_.agents_digest();
+        changed_at_ = now;
+    }
+    for (const auto& record : members_.records())
+    {
+        if (record.kind != member_kind::agent)
+        {
+            continue;
+        }
+        if (is_live(record.state))
+        {
+            departed_.erase(record.id);
+        }
+        else
+        {
+            on_departed(now, record);
+        }
+    }
+}
+
+auto agent_census::on_departed(millis now, const member_record& record) -> void
+{
+    // An agent without a server reports no slots.
+    if (record.slots > 0)
+    {
+        departed_.try_emplace(record.id,
+                              departed_agent{record.data_address, now});
+    }
+}
+
+auto agent_census::is_settled(millis now) const -> bool
+{
+    return now - started_at_ >= start_up_time && !members_.is_alone() &&
+           !members_.is_isolated(now) && now - changed_at_ >= settle_time;
+}
+
+auto agent_census::on_reply(member_id from, std::uint64_t query,
+                            std::uint64_t digest) -> void
+{
+    auto& it = replies_[from];
+    if (query >= it.query)
+    {
+        it = {query, digest};
+    }
+}
+
+auto agent_census::agrees(member_id id, std::uint64_t query) const -> bool
+{
+    return id == members_.self().id || agreed_query(id) >= query;
+}
+
+// Returns the last query that this member has replied to with the digest of
+// this process, or 0.
+auto agent_census::agreed_query(member_id id) const -> std::uint64_t
+{
+    const auto it = replies_.find(id);
+    return it != replies_.end() && it->second.digest == members_.agents_digest()
+               ? it->second.query
+               : 0;
+}
+
+auto agent_census::missing_replies(std::uint64_t query) const -> std::size_t
+{
+    const auto live = members_.live();
+    const auto n = std::count_if(live.begin(), live.end(),
+                                 [&](member_id id)
+                                 {
+                                     return !agrees(id, query);
+                                 });
+    return static_cast<std::size_t>(n);
+}
+
+auto agent_census::departed_count(millis now) const -> std::size_t
+{
+    const auto n = std::count_if(departed_.begin(), departed_.end(),
+                                 [&](const auto& it)
+                                 {
+                                     return may_hold_flows(now, it.second);
+                                 });
+    return static_cast<std::size_t>(n);
+}
+
+auto agent_census::complete_for(millis now) const -> std::uint64_t
+{
+    if (departed_count(now) > 0 || !is_settled(now))
+    {
+        return 0;
+    }
+    auto query = std::numeric_limits<std::uint64_t>::max();
+    for (const auto id : members_.live())
+    {
+        const auto self = id == members_.self().id;
+        query = self ? query : std::min(query, agreed_query(id));
+    }
+    return query;
+}
+
+// A server that started at the address of another one has replaced it.
+auto agent_census::may_hold_flows(millis now, const departed_agent& it) const
+    -> bool
+{
+    return now - it.since < flow_lifetime_ && !is_address_in_use(it.address);
+}
+
+auto agent_census::is_address_in_use(const endpoint& address) const -> bool
+{
+    const auto all = members_.records();
+    return std::any_of(all.begin(), all.end(),
+                       [&](const member_record& record)
+                       {
+                           return record.kind == member_kind::agent &&
+                                  is_live(record.state) &&
+                                  record.data_address == address;
+                       });
+}
+
+auto agent_census::clear() -> void
+{
+    replies_.clear();
+}
+
+} // namespace briardrum
--- /dev/null
+++ b/modules/packets/agent/agent_census.hpp
@@ -0,0 +1,91 @@
+#ifndef BRIARDRUM_PACKETS_AGENT_AGENT_CENSUS_HPP
+#define BRIARDRUM_PACKETS_AGENT_AGENT_CENSUS_HPP
+
+#include "membership/membership.hpp"
+
+#include <map>
+#include <unordered_map>
+
+namespace briardrum
+{
+
+// Tells whether this process knows every agent whose server may hold an open
+// flow.
+//
+// Each query to the members has a number, and each reply carries the digest of
+// the agents that its sender knows. The census is complete for a query once
+// every live member has replied to it, or to a later one, with the digest of
+// this process, and no agent has departed whose server may live on.
+class agent_census
+{
+public:
+    // The known agents must not have changed for this long before members are
+    // asked; while news spreads, the replies would differ.
+    static constexpr millis settle_time = milliseconds(200);
+
+    // For this long after its start, a process may know only some of the
+    // members that started at the same time.
+    static constexpr millis start_up_time = milliseconds(700);
+
+    // flow_lifetime is the maximum lifetime of a flow: a departed agent is of
+    // no concern after it.
+    agent_census(const member_view& members, millis flow_lifetime,
+                 millis started_at);
+
+    // Follows changes of the members. Call on each tick.
+    auto refresh(millis now) -> void;
+
+    // Returns true if members can be asked.
+    auto is_settled(millis now) const -> bool;
+
+    auto on_reply(member_id from, std::uint64_t query, std::uint64_t digest)
+        -> void;
+
+    // Call for an agent that departed before this process knew it.
+    auto on_departed(millis now, const member_record& record) -> void;
+
+    // Returns true if this member has replied to this query or a later one, and
+    // knows the same agents.
+    auto agrees(member_id id, std::uint64_t query) const -> bool;
+
+    // Number of live members that have not agreed to this query yet, and of
+    // departed agents whose servers may live on.
+    auto missing_replies(std::uint64_t query) const -> std::size_t;
+    auto departed_count(millis now) const -> std::size_t;
+
+    // Returns the last query for which the census is complete, or 0.
+    auto complete_for(millis now) const -> std::uint64_t;
+
+    // Discards all replies.
+    auto clear() -> void;
+
+private:
+    struct reply
+    {
+        std::uint64_t query = 0;
+        std::uint64_t digest = 0;
+    };
+
+    struct departed_agent
+    {
+        endpoint address;
+        millis since;
+    };
+
+    auto agreed_query(member_id id) const -> std::uint64_t;
+    auto may_hold_flows(millis now, const departed_agent& it) const -> bool;
+    auto is_address_in_use(const endpoint& address) const -> bool;
+
+    const member_view& members_;
+    millis flow_lifetime_;
+    millis started_at_;
+    std::unordered_map<member_id, reply> replies_;
+    std::map<member_id, departed_agent> departed_;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t digest_ = 0;
+    millis changed_at_;
+};
+
+} // namespace briardrum
+
+#endif
--- a/modules/packets/agent/agent_state.cpp
+++ b/modules/packets/agent/agent_state.cpp
@@ -132,7 +132,9 @@
 // Returns true if the server may hold flows that this agent has never seen.
 auto agent_state::may_have_unknown_flows(millis now) const -> bool
 {
-    return (!server.is_known() || server.predates_agent()) &&
+    const auto has_older_server =
+        server.is_known() ? server.predates_agent() : !server.is_absent();
+    return has_older_server && !server.is_absent() &&
            now - started_at < settings.flow_lifetime;
 }
 
@@ -170,12 +172,22 @@
 auto agent_state::relay(const endpoint& from, const flow_packet& packet,
                         const redirect_table::row& to) -> bool
 {
-    if (packet.label.hops >= relay_hops_max || to.owner == members.self().id)
+    const auto owner = to.owner;
+    const auto* record = members.find(owner);
+    if (packet.label.hops >= relay_hops_max || record == nullptr ||
+        owner == members.self().id)
     {
         return false;
     }
-    const auto owner = to.owner;
+    // An open flow stays with the service it was opened at, although its route
+    // may lead to another one since.
     auto label = packet.label;
+    const auto owner_service = service_tag_of(record->service_name);
+    if (packet.opens && owner_service != label.service)
+    {
+        return false;
+    }
+    label.service = owner_service;
     label.kind = label_kind::relay;
     ++label.hops;
     if (!send_to(owner, packet, label))
--- a/modules/packets/agent/local_server.cpp
+++ b/modules/packets/agent/local_server.cpp
@@ -60,13 +60,17 @@
             service_name_ = heartbeat.service_name;
             last_heartbeat_at_ = now;
             last_heard_at_ = now;
+            absent_ = false;
             return changed ? heartbeat_outcome::changed
                            : heartbeat_outcome::renewed;
         }
     }
     const auto first = !last_heartbeat_.has_value();
     // The first heartbeat of an incarnation has at most the sequence number 1.
-    predates_agent_ = first && heartbeat.sequence > 1;
+    // A server that started after this VM was found to have none is younger
+    // than the agent, too.
+    predates_agent_ = first && heartbeat.sequence > 1 && !absent_;
+    absent_ = false;
     last_heartbeat_ = heartbeat;
     service_name_ = heartbeat.service_name;
     last_heartbeat_at_ = now;
@@ -111,9 +115,45 @@
     unanswered_since_.reset();
 }
 
+auto local_server::is_in_doubt(millis now, millis agent_started) const -> bool
+{
+    if (absent_)
+    {
+        return false;
+    }
+    const auto known = last_heartbeat_.has_value();
+    const auto silence = now - (known ? last_heartbeat_at_ : agent_started);
+    const auto expected =
+        known ? milliseconds(heartbeat_interval_.count * overdue_tenths / 10)
+              : first_heartbeat_timeout;
+    const auto overdue = left_ || silence > expected;
+    const auto refuses =
+        refused_at_.has_value() && last_heartbeat_at_ <= *refused_at_;
+    return overdue || refuses || is_silent(now);
+}
+
+auto local_server::on_not_found(millis, millis checked_at) -> bool
+{
+    const auto heard = std::max(last_heard_at_, last_heartbeat_at_);
+    const auto known = last_heartbeat_.has_value();
+    if (absent_ || (known && heard >= checked_at))
+    {
+        return false;
+    }
+    absent_ = true;
+    unanswered_since_.reset();
+    return true;
+}
+
+auto local_server::is_absent() const -> bool
+{
+    return absent_;
+}
+
 auto local_server::accepts_new_flows(millis now) const -> bool
 {
-    if (!last_heartbeat_.has_value() || left_ || last_heartbeat_->draining)
+    if (!last_heartbeat_.has_value() || left_ || absent_ ||
+        last_heartbeat_->draining)
     {
         return false;
     }
@@ -137,6 +177,11 @@
            now - *unanswered_since_ > opening_answer_timeout;
 }
 
+auto local_server::has_left() const -> bool
+{
+    return left_;
+}
+
 auto local_server::is_draining() const -> bool
 {
     return left_ || (last_heartbeat_.has_value() && last_heartbeat_->draining);
--- a/modules/packets/agent/local_server.hpp
+++ b/modules/packets/agent/local_server.hpp
@@ -37,6 +37,12 @@
     // An opening packet is delivered and answered within the VM; this is far
     // above the slowest answer of a live server.
     static constexpr millis opening_answer_timeout = milliseconds(150);
+    // Time without a heartbeat, in tenths of the interval, after which one is
+    // overdue.
+    static constexpr int overdue_tenths = 13;
+    // Time that a running server takes at most to send its first heartbeat
+    // after a common start with the agent.
+    static constexpr millis first_heartbeat_timeout = milliseconds(300);
     // Interval between attempts to send an opening packet to an unresponsive
     // server.
     static constexpr millis retry_interval = milliseconds(250);
@@ -64,12 +70,29 @@
     // process is not running.
     auto on_opening_refused(millis now) -> void;
 
+    // Returns true if there is reason to doubt that the server process runs: a
+    // heartbeat is overdue, or opening packets are refused or unanswered.
+    // agent_started is the start time of the agent.
+    auto is_in_doubt(millis now, millis agent_started) const -> bool;
+
+    // Call when no server process was found in a check that began at this time.
+    // Returns true if the server is absent from now on: it has sent nothing
+    // since, and was not absent before.
+    auto on_not_found(millis now, millis checked_at) -> bool;
+
+    // Returns true if no server process runs on this VM. Lasts until the first
+    // heartbeat of the next one.
+    auto is_absent() const -> bool;
+
     // Returns true if new flows may be sent to the server.
     auto accepts_new_flows(millis now) const -> bool;
 
     // Returns true if opening packets go unanswered.
     auto is_silent(millis now) const -> bool;
 
+    // Returns true if the server has announced that it is leaving for good.
+    auto has_left() const -> bool;
+
     auto is_draining() const -> bool;
     auto is_known() const -> bool;
 
@@ -95,6 +118,7 @@
     millis last_attempt_at_;
     std::optional<millis> refused_at_;
     bool left_ = false;
+    bool absent_ = false;
     bool predates_agent_ = true;
 };
 
--- a/modules/packets/agent/open_flow_router.cpp
+++ b/modules/packets/agent/open_flow_router.cpp
@@ -29,10 +29,9 @@
     const auto flow = flow_from_caller(packet);
     if (auto* row = state_.flows.find(flow))
     {
-        if (packet.label.kind == label_kind::locate &&
-            row->phase != flow_phase::probing)
+        if (packet.label.kind == label_kind::locate)
         {
-            notices_.answer(from, packet, label_kind::owned);
+            answer_search(from, *row, packet);
         }
         if (row->phase == flow_phase::probing &&
             now - row->phase_since > probe_timeout)
@@ -54,7 +53,7 @@
     {
         if (state_.may_have_unknown_flows(now))
         {
-            probe_server(now, packet);
+            probe_server(now, packet).asked_by = from;
         }
         else
         {
@@ -79,6 +78,18 @@
     locator_.search(now, packet);
 }
 
+// A flow that is being probed is answered for once the server has responded.
+auto open_flow_router::answer_search(const endpoint& from, owned_flow& row,
+                                     const flow_packet& packet) -> void
+{
+    if (row.phase == flow_phase::probing)
+    {
+        row.asked_by = from;
+        return;
+    }
+    notices_.answer(from, packet, label_kind::owned);
+}
+
 auto open_flow_router::deliver(millis now, const flow_key& flow,
                                owned_flow& row, const flow_packet& packet)
     -> void
@@ -154,12 +165,13 @@
 }
 
 auto open_flow_router::probe_server(millis now, const flow_packet& packet)
-    -> void
+    -> owned_flow&
 {
-    state_.add_flow(now, packet, flow_phase::probing);
+    auto& row = state_.add_flow(now, packet, flow_phase::probing);
     state_.emit(state_.flow_event("server_probed", flow_from_caller(packet))
                     .with("kind", to_string(packet.label.kind)));
     state_.hooks.send_to_server(packet);
+    return row;
 }
 
 // The server has not responded to a packet of the flow, so it may not hold the
--- a/modules/packets/agent/open_flow_router.hpp
+++ b/modules/packets/agent/open_flow_router.hpp
@@ -29,7 +29,9 @@
         -> void;
     auto is_open_at_another_server(const owned_flow& row,
                                    const flow_packet& packet) const -> bool;
-    auto probe_server(millis now, const flow_packet& packet) -> void;
+    auto answer_search(const endpoint& from, owned_flow& row,
+                       const flow_packet& packet) -> void;
+    auto probe_server(millis now, const flow_packet& packet) -> owned_flow&;
     auto abandon_probe(millis now, const flow_packet& packet) -> void;
 
     agent_state& state_;
--- a/modules/packets/agent/owned_flow.hpp
+++ b/modules/packets/agent/owned_flow.hpp
@@ -56,6 +56,8 @@
     // The opening packet, kept until the flow is open.
     flow_packet opening;
     byte_buffer opening_bytes;
+    // The agent whose search made this one probe its server; none otherwise.
+    endpoint asked_by;
     // Agents that were notified of the owner: the first of the rendezvous
     // order, to which balancers send packets without a hint and retransmitted
     // opening packets.
--- a/modules/packets/agent/owner_locator.cpp
+++ b/modules/packets/agent/owner_locator.cpp
@@ -7,7 +7,25 @@
 {
 
 owner_locator::owner_locator(agent_state& state, release_hook release)
-    : state_(state), release_(std::move(release))
+    : state_(state), release_(std::move(release)),
+      lost_flows_(
+          state.members, state.settings.flow_lifetime, state.started_at,
+          {[this](const member_record& to, flow_query_message query)
+           {
+               send_query(to, std::move(query));
+           },
+           [this](millis now, const flow_packet& packet, member_id owner)
+           {
+               on_found(now, packet, owner);
+           },
+           [this](millis, const lost_flow& flow)
+           {
+               on_lost(flow);
+           },
+           [this](const undecided_flow& flow)
+           {
+               on_undecided(flow);
+           }})
 {
 }
 
@@ -19,14 +37,22 @@
 auto owner_locator::search(millis now, const flow_packet& packet) -> void
 {
     const auto flow = flow_from_caller(packet);
-    const auto self = state_.members.self().id;
-    const auto known = state_.members.agents_of(state_.server.service_name());
-    std::vector<member_id> agents(known.begin(), known.end());
-    std::erase(agents, self);
-    switch (searches_.admit(now, flow, agents.size()))
+    lost_flows_.suspect(now, packet);
+    if (!state_.may_have_unknown_flows(now))
+    {
+        on_denied_by_server(flow);
+    }
+    const auto agents = state_.members.agents_of(state_.server.service_name());
+    const auto others = std::count_if(agents.begin(), agents.end(),
+                                      [&](member_id id)
+                                      {
+                                          return id != state_.members.self().id;
+                                      });
+    switch (searches_.admit(now, flow, static_cast<std::size_t>(others)))
     {
     case owner_search::decision::search:
-        break;
+        ask_agents(flow, packet, agents);
+        return;
     case owner_search::decision::hold:
         state_.counters.dropped += held_.hold(flow, packet) ? 0 : 1;
         return;
@@ -40,16 +66,26 @@
                         .with("reason", "too_many_searches"));
         return;
     }
+}
+
+auto owner_locator::ask_agents(const flow_key& flow, const flow_packet& packet,
+                               std::span<const member_id> agents) -> void
+{
     ++state_.counters.searches;
     auto label = packet.label;
     label.kind = label_kind::locate;
     label.service = state_.tag;
+    std::uint64_t asked = 0;
     for (const auto id : agents)
     {
-        state_.send_to(id, packet, label);
+        if (id != state_.members.self().id)
+        {
+            ++asked;
+            state_.send_to(id, packet, label);
+        }
     }
     state_.emit(state_.flow_event("owner_searched", flow)
-                    .with("asked", std::uint64_t{agents.size()})
+                    .with("asked", asked)
                     .with("hops", std::uint64_t{packet.label.hops}));
 }
 
@@ -62,6 +98,7 @@
         return;
     }
     const auto flow = flow_from_caller(notice);
+    lost_flows_.forget(flow);
     state_.redirects.set(now, {flow, owner->id, owner->incarnation, 0});
     const auto* probed = state_.flows.find(flow);
     if (probed != nullptr && probed->phase == flow_phase::probing)
@@ -82,13 +119,14 @@
                   });
 }
 
-// Every known agent has denied the flow. It may still be open at an agent that
-// is not known here yet, so it is not reset: the event informs the operator,
-// and the deadline of the caller ends the flow.
 auto owner_locator::on_unowned(millis now, const endpoint& from,
                                const flow_packet& notice) -> void
 {
     const auto flow = flow_from_caller(notice);
+    if (const auto* record = state_.find_by_address(from.address))
+    {
+        lost_flows_.on_denied(flow, record->id);
+    }
     const auto denial = searches_.on_denied(now, flow, from.address);
     if (denial.has_value())
     {
@@ -98,6 +136,117 @@
     }
 }
 
+auto owner_locator::on_denied_by_server(const flow_key& flow) -> void
+{
+    lost_flows_.on_denied(flow, state_.members.self().id);
+}
+
+auto owner_locator::on_opened(const flow_key& flow) -> void
+{
+    lost_flows_.forget(flow);
+}
+
+auto owner_locator::on_departed(millis now, const member_record& record) -> void
+{
+    lost_flows_.on_departed(now, record);
+}
+
+// A flow that is queued here is not open, but its owner is known.
+auto owner_locator::on_query(millis now, member_id from,
+                             const flow_query_message& query) -> void
+{
+    const auto* record = state_.members.find(from);
+    if (record == nullptr)
+    {
+        return;
+    }
+    flow_reply_message reply;
+    reply.sequence = query.sequence;
+    reply.agents_digest = state_.members.agents_digest();
+    const auto certain = !state_.may_have_unknown_flows(now);
+    for (const auto& flow : query.flows)
+    {
+        const auto* row = state_.flows.find(flow);
+        if (row != nullptr && row->phase != flow_phase::probing)
+        {
+            reply.held.push_back(flow);
+        }
+        else if (row == nullptr && certain)
+        {
+            reply.absent.push_back(flow);
+        }
+    }
+    const auto& self = state_.members.self();
+    state_.hooks.send_control(record->control_address,
+                              {self.id, self.incarnation, std::move(reply)});
+}
+
+auto owner_locator::on_reply(millis now, member_id from,
+                             const flow_reply_message& reply) -> void
+{
+    lost_flows_.on_reply(now, from, reply);
+}
+
+auto owner_locator::send_query(const member_record& to,
+                               flow_query_message query) -> void
+{
+    ++state_.counters.flow_queries;
+    const auto& self = state_.members.self();
+    state_.hooks.send_control(to.control_address,
+                              {self.id, self.incarnation, std::move(query)});
+}
+
+auto owner_locator::on_found(millis now, const flow_packet& packet,
+                             member_id owner) -> void
+{
+    const auto* record = state_.members.find(owner);
+    if (record == nullptr)
+    {
+        return;
+    }
+    const auto flow = flow_from_caller(packet);
+    state_.redirects.set(now, {flow, owner, record->incarnation, 0});
+    state_.emit(state_.flow_event("owner_found", flow)
+                    .with("owner", record->name)
+                    .with("service", record->service_name));
+    auto again = packet;
+    again.label.kind = label_kind::relay;
+    release_(now, again);
+}
+
+auto owner_locator::on_lost(const lost_flow& flow) -> void
+{
+    ++state_.counters.reset;
+    ++state_.counters.lost;
+    flow_packet packet;
+    packet.source = flow.caller;
+    packet.destination = flow.route;
+    state_.emit(
+        state_.flow_event("flow_reset", flow_from_caller(packet))
+            .with("reason", "flow_lost")
+            .with("denied_by", std::uint64_t{flow.denied_by})
+            .with("members", std::uint64_t{state_.members.live().size()})
+            .with("since_ms", as_count(flow.elapsed)));
+    state_.hooks.send_reset(flow.route, flow.caller, flow.acknowledged);
+}
+
+auto owner_locator::on_undecided(const undecided_flow& it) -> void
+{
+    ++state_.counters.undecided;
+    state_.emit(
+        state_.flow_event("flow_undecided", it.flow)
+            .with("denied_by", std::uint64_t{it.denied_by})
+            .with("members", std::uint64_t{state_.members.live().size()})
+            .with("missing_replies", std::uint64_t{it.missing_replies})
+            .with("departed", std::uint64_t{it.departed}));
+}
+
+auto owner_locator::tick(millis now) -> void
+{
+    report_failed(now);
+    lost_flows_.tick(now);
+}
+
 auto owner_locator::report_failed(millis now) -> void
 {
     for (const auto& flow : searches_.take_failed(now))
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -6,6 +6,14 @@
 namespace briardrum
 {
 
+namespace
+{
+
+// Interval between checks whether a server process that is in doubt runs.
+constexpr millis look_interval = milliseconds(500);
+
+} // namespace
+
 packet_agent::packet_agent(member_view& members, packet_agent_settings settings,
                            packet_hooks hooks, millis started_at)
     : state_(members, std::move(settings), std::move(hooks), started_at),
@@ -44,6 +52,7 @@
     }
     else if (packet.opens)
     {
+        locator_.on_opened(flow_from_caller(packet));
         opener_.on_packet(now, from, packet);
     }
     else
@@ -58,6 +67,25 @@
     server_packets_.on_packet(now, packet);
 }
 
+auto packet_agent::on_control(millis now, const control_message& message)
+    -> void
+{
+    if (const auto* query = std::get_if<flow_query_message>(&message.body))
+    {
+        locator_.on_query(now, message.from, *query);
+    }
+    else if (const auto* reply = std::get_if<flow_reply_message>(&message.body))
+    {
+        locator_.on_reply(now, message.from, *reply);
+    }
+}
+
+auto packet_agent::on_member_departed(millis now, const member_record& record)
+    -> void
+{
+    locator_.on_departed(now, record);
+}
+
 auto packet_agent::on_heartbeat(millis now, const server_heartbeat& heartbeat)
     -> heartbeat_outcome
 {
@@ -96,6 +124,31 @@
     return known;
 }
 
+auto packet_agent::look_for_server(millis now) -> void
+{
+    if (now < next_look_ || !state_.hooks.look_for_server ||
+        !state_.server.is_in_doubt(now, state_.started_at))
+    {
+        return;
+    }
+    next_look_ = now + look_interval;
+    state_.hooks.look_for_server(now);
+}
+
+auto packet_agent::on_server_not_found(millis now, millis checked_at) -> void
+{
+    if (!state_.server.on_not_found(now, checked_at))
+    {
+        return;
+    }
+    state_.emit(event("server_absent", event_level::warning)
+                    .with("service", state_.server.service_name())
+                    .with("flows", std::uint64_t{state_.flows.size()})
+                    .with("checked_ms_ago", as_count(now - checked_at)));
+    server_packets_.drop_flows_of_absent_server(now);
+    update_own_record(now);
+}
+
 auto packet_agent::drain(millis now) -> void
 {
     state_.draining = true;
@@ -112,9 +165,12 @@
     {
         state_.members.set_service(now, state_.server.service_name());
     }
-    if (own.slots != state_.server.slots())
+    // No slots mean that the server has left: no flow can be open here.
+    const auto gone = state_.server.has_left() || state_.server.is_absent();
+    const auto slots = gone ? 0 : state_.server.slots();
+    if (own.slots != slots)
     {
-        state_.members.set_slots(now, state_.server.slots());
+        state_.members.set_slots(now, slots);
     }
     if (own.state != state && own.state != member_state::left)
     {
@@ -124,9 +180,10 @@
 
 auto packet_agent::tick(millis now) -> void
 {
+    look_for_server(now);
     opener_.drop_expired(now);
     opener_.start_queued_flows(now);
-    locator_.report_failed(now);
+    locator_.tick(now);
     notices_.reannounce();
     expiry_.tick(now);
 }
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -34,10 +34,21 @@
 
     auto on_server_packet(millis now, const flow_packet& packet) -> void;
 
+    // Queries of other agents about flows, and replies of members; ignores any
+    // other message.
+    auto on_control(millis now, const control_message& message) -> void;
+
+    // Call for an agent that departed before this process knew it.
+    auto on_member_departed(millis now, const member_record& record) -> void;
+
     auto on_heartbeat(millis now, const server_heartbeat& heartbeat)
         -> heartbeat_outcome;
     auto on_leave(millis now, const std::string& server_id) -> bool;
 
+    // Call when a check that began at this time has found no server process on
+    // this VM.
+    auto on_server_not_found(millis now, millis checked_at) -> void;
+
     auto tick(millis now) -> void;
 
     // Stops accepting new flows.
@@ -53,6 +64,7 @@
 
 private:
     auto update_own_record(millis now) -> void;
+    auto look_for_server(millis now) -> void;
 
     agent_state state_;
     ownership_notices notices_;
@@ -61,6 +73,7 @@
     open_flow_router router_;
     server_packet_handler server_packets_;
     flow_expiry expiry_;
+    millis next_look_;
 };
 
 } // namespace briardrum
--- a/modules/packets/agent/packet_agent_counters.hpp
+++ b/modules/packets/agent/packet_agent_counters.hpp
@@ -22,6 +22,10 @@
     std::uint64_t searches_found = 0;
     std::uint64_t searches_failed = 0;
     std::uint64_t searches_deferred = 0;
+    // Flows reset because no server holds them, and the queries that this took.
+    std::uint64_t lost = 0;
+    std::uint64_t undecided = 0;
+    std::uint64_t flow_queries = 0;
     std::uint64_t returned = 0;
     std::uint64_t wrong_service = 0;
     std::uint64_t dropped = 0;
--- a/modules/packets/agent/server_packet_handler.cpp
+++ b/modules/packets/agent/server_packet_handler.cpp
@@ -148,6 +148,10 @@
         reset_flow(flow, row, "server_lost_flow");
         return;
     }
+    if (!row.asked_by.is_none())
+    {
+        notices_.answer(row.asked_by, again, label_kind::unowned);
+    }
     // The agent that asked is already searching. If every agent that was asked
     // searched as well, one search would cause messages from all agents to all
     // others.
@@ -157,6 +161,7 @@
         return;
     }
     locator_.search(now, again);
+    locator_.on_denied_by_server(flow);
 }
 
 auto server_packet_handler::reset_flow(const flow_key& flow,
@@ -189,13 +194,51 @@
     }
     for (const auto& flow : lost)
     {
-        const auto* row = state_.flows.find(flow);
-        if (row->confirmed)
+        drop_flow(now, flow, "server_replaced");
+    }
+}
+
+auto server_packet_handler::drop_flows_of_absent_server(millis now) -> void
+{
+    std::vector<flow_key> held;
+    std::vector<flow_key> unanswered;
+    for (const auto& [flow, row] : state_.flows.rows())
+    {
+        const auto sent = row.phase == flow_phase::opening &&
+                          !row.server_sequence.has_value();
+        const auto closed = row.caller_closed && row.server_closed;
+        if (sent)
         {
-            reset_flow(flow, *row, "server_replaced");
+            unanswered.push_back(flow);
+        }
+        else if (row.phase != flow_phase::waiting && !closed)
+        {
+            held.push_back(flow);
         }
-        state_.remove_flow(now, flow);
     }
+    for (const auto& flow : held)
+    {
+        drop_flow(now, flow, "server_absent");
+    }
+    for (const auto& flow : unanswered)
+    {
+        if (auto* row = state_.flows.find(flow))
+        {
+            opener_.on_opening_refused(now, flow, *row);
+        }
+    }
+}
+
+// Resets the caller if the flow was open, so that it can retry at once.
+auto server_packet_handler::drop_flow(millis now, const flow_key& flow,
+                                      std::string_view reason) -> void
+{
+    const auto* row = state_.flows.find(flow);
+    if (row->confirmed)
+    {
+        reset_flow(flow, *row, reason);
+    }
+    state_.remove_flow(now, flow);
 }
 
 } // namespace briardrum
--- a/modules/packets/agent/server_packet_handler.hpp
+++ b/modules/packets/agent/server_packet_handler.hpp
@@ -20,7 +20,13 @@
     // A new incarnation of the server has replaced the one that held the flows.
     auto drop_server_flows(millis now) -> void;
 
+    // No server process runs: its flows are lost, and flows that it has not
+    // accepted yet are offered to other agents.
+    auto drop_flows_of_absent_server(millis now) -> void;
+
 private:
+    auto drop_flow(millis now, const flow_key& flow, std::string_view reason)
+        -> void;
     auto on_answer(millis now, const flow_key& flow, owned_flow& row,
                    const flow_packet& packet) -> void;
     auto on_returned(millis now, const flow_packet& packet) -> void;
--- a/modules/packets/balancer/packet_balancer.cpp
+++ b/modules/packets/balancer/packet_balancer.cpp
@@ -247,6 +247,22 @@
     }
 }
 
+auto packet_balancer::on_control(const control_message& message) -> void
+{
+    const auto* query = std::get_if<flow_query_message>(&message.body);
+    const auto* record = members_.find(message.from);
+    if (query == nullptr || record == nullptr || !hooks_.send_control)
+    {
+        return;
+    }
+    flow_reply_message reply;
+    reply.sequence = query->sequence;
+    reply.agents_digest = members_.agents_digest();
+    const auto& self = members_.self();
+    hooks_.send_control(record->control_address,
+                        {self.id, self.incarnation, std::move(reply)});
+}
+
 auto packet_balancer::is_ready() -> bool
 {
     if (routes_ == nullptr)
--- a/modules/packets/balancer/packet_balancer.hpp
+++ b/modules/packets/balancer/packet_balancer.hpp
@@ -39,6 +39,10 @@
     // Caches the owner of a flow as reported by an agent.
     auto on_hint(const flow_packet& notice) -> void;
 
+    // Tells an agent which agents are known here. A balancer holds no flows;
+    // any other message is ignored.
+    auto on_control(const control_message& message) -> void;
+
     // Returns true if there is a route table and at least one agent is ready.
     auto is_ready() -> bool;
 
--- a/modules/packets/model/packet_hooks.hpp
+++ b/modules/packets/model/packet_hooks.hpp
@@ -32,6 +32,9 @@
                        std::uint32_t acknowledged)>
         send_reset;
     std::function<void(const endpoint&, const control_message&)> send_control;
+    // Asks whether a server process runs on this VM; may be empty. If none
+    // does, packet_agent::on_server_not_found() is called.
+    std::function<void(millis now)> look_for_server;
     // Samples for histograms; may be empty. The time an opening packet spent in
     // the queue, and the time from the last packet of a request to the first
     // packet of its answer.
--- a/modules/wire/codec/control_decode.cpp
+++ b/modules/wire/codec/control_decode.cpp
@@ -225,6 +225,26 @@
     return heartbeat_message{from.sequence()};
 }
 
+auto read_flow(decode_guard& /*guard*/, const schema::flow& from) -> flow_key
+{
+    return from_schema(from);
+}
+
+auto read(decode_guard& guard, const schema::flow_query& from) -> control_body
+{
+    return flow_query_message{
+        from.sequence(),
+        read_vector(guard, from.flows(), sizeof(schema::flow), read_flow)};
+}
+
+auto read(decode_guard& guard, const schema::flow_reply& from) -> control_body
+{
+    return flow_reply_message{
+        from.sequence(), from.agents(),
+        read_vector(guard, from.held(), sizeof(schema::flow), read_flow),
+        read_vector(guard, from.absent(), sizeof(schema::flow), read_flow)};
+}
+
 // Returns the body, or std::nullopt for a type unknown to this version.
 auto read_body(decode_guard& guard, const schema::control& from)
     -> std::optional<control_body>
@@ -252,6 +272,10 @@
         return read(guard, *from.body_as_load());
     case kind::heartbeat:
         return read(guard, *from.body_as_heartbeat());
+    case kind::flow_query:
+        return read(guard, *from.body_as_flow_query());
+    case kind::flow_reply:
+        return read(guard, *from.body_as_flow_reply());
     case kind::NONE:
         break;
     }
--- a/modules/wire/codec/control_encode.cpp
+++ b/modules/wire/codec/control_encode.cpp
@@ -75,6 +75,18 @@
     return out.CreateVector(offsets);
 }
 
+auto write_flows(FlatBufferBuilder& out, const std::vector<flow_key>& flows)
+    -> Offset<flatbuffers::Vector<const schema::flow*>>
+{
+    std::vector<schema::flow> stored;
+    stored.reserve(flows.size());
+    for (const auto& item : flows)
+    {
+        stored.push_back(to_schema(item));
+    }
+    return out.CreateVectorOfStructs(stored);
+}
+
 auto write_member(FlatBufferBuilder& out, const member_record& record)
     -> Offset<schema::member>
 {
@@ -215,6 +227,25 @@
             schema::Createheartbeat(out, message.sequence).Union()};
 }
 
+auto write(FlatBufferBuilder& out, const flow_query_message& message)
+    -> encoded_body
+{
+    const auto flows = write_flows(out, message.flows);
+    return {schema::control_body::flow_query,
+            schema::Createflow_query(out, message.sequence, flows).Union()};
+}
+
+auto write(FlatBufferBuilder& out, const flow_reply_message& message)
+    -> encoded_body
+{
+    const auto held = write_flows(out, message.held);
+    const auto absent = write_flows(out, message.absent);
+    return {schema::control_body::flow_reply,
+            schema::Createflow_reply(out, message.sequence,
+                                     message.agents_digest, held, absent)
+                .Union()};
+}
+
 } // namespace
 
 auto encode_control(const control_message& message) -> byte_buffer
--- a/modules/wire/messages/control_message.hpp
+++ b/modules/wire/messages/control_message.hpp
@@ -115,11 +115,35 @@
     auto operator==(const heartbeat_message&) const -> bool = default;
 };
 
+// Asks a member whether these flows are open at the server beside it. Sent to
+// every member before a flow is considered lost; answered by a
+// flow_reply_message with the same sequence.
+struct flow_query_message
+{
+    std::uint64_t sequence = 0;
+    std::vector<flow_key> flows;
+
+    auto operator==(const flow_query_message&) const -> bool = default;
+};
+
+// Answers a flow_query_message. A flow in neither list may or may not be open
+// at the sender's server. agents_digest identifies the set of live agents known
+// to the sender.
+struct flow_reply_message
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t agents_digest = 0;
+    std::vector<flow_key> held;
+    std::vector<flow_key> absent;
+
+    auto operator==(const flow_reply_message&) const -> bool = default;
+};
+
 using control_body =
     std::variant<gossip_message, probe_message, probe_ack_message,
                  redirects_message, hand_over_message, transfer_ack_message,
                  configuration_message, configuration_request, load_message,
-                 heartbeat_message>;
+                 heartbeat_message, flow_query_message, flow_reply_message>;
 
 // A control message with its sender. Every message type is idempotent:
 // receiving it twice has the same effect as receiving it once.
--- a/tests/fakes/agent_fixture.hpp
+++ b/tests/fakes/agent_fixture.hpp
@@ -20,6 +20,12 @@
         packet_label label;
     };
 
+    struct sent_control
+    {
+        endpoint to;
+        control_message message;
+    };
+
     explicit agent_fixture(std::size_t others = 2,
                            packet_agent_settings settings = {});
 
@@ -48,6 +54,17 @@
     auto open_flow(std::uint16_t port) -> void;
     auto receive_notice(std::uint16_t port, label_kind kind, std::size_t other)
         -> void;
+    // The agent of this index as the members see it; tells all of a change.
+    auto record_of(std::size_t other) const -> member_record;
+    auto announce(const member_record& record) -> void;
+
+    // Queries sent to another agent.
+    auto queries_to(std::size_t other) const -> std::vector<flow_query_message>;
+    // Answers the last query to another agent: its server holds none of the
+    // flows, and it knows the same agents as the fixture.
+    auto deny_queries(std::size_t other) -> void;
+    auto reply(std::size_t other, flow_reply_message message) -> void;
+
     auto advance_time(millis span) -> void;
     auto count_labelled(label_kind kind) const -> std::size_t;
 
@@ -58,6 +75,7 @@
     std::vector<flow_packet> to_caller;
     std::vector<labelled_packet> sent;
     std::vector<labelled_packet> notices;
+    std::vector<sent_control> controls;
     std::vector<endpoint> resets;
     std::vector<std::string> events;
 };
--- /dev/null
+++ b/tests/unit/lost_flow_test.cpp
@@ -0,0 +1,352 @@
+#include "tests/fakes/agent_fixture.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace briardrum;
+using namespace briardrum::tests;
+
+namespace
+{
+
+constexpr std::uint16_t port = 7;
+constexpr std::uint16_t request_bytes = 300;
+// Longer than the time for which a started process may know few members.
+constexpr millis settled = milliseconds(1500);
+// A search has failed and a query has been sent by then.
+constexpr millis until_query = milliseconds(200);
+
+// An agent that knows all flows of its server, with the given others, as the
+// request of a flow that is unknown to it arrives.
+struct lost_flow_fixture : agent_fixture
+{
+    explicit lost_flow_fixture(std::size_t others = 2) : agent_fixture(others)
+    {
+        heartbeat(1);
+        advance_time(settled);
+    }
+
+    auto receive_request() -> void
+    {
+        auto packet = data(port, request_bytes);
+        packet.acknowledged = 4711;
+        receive_from_balancer(packet);
+        advance_time(until_query);
+    }
+
+    auto deny_by_all(std::size_t others = 2) -> void
+    {
+        for (std::size_t n = 1; n <= others; ++n)
+        {
+            deny_queries(n);
+        }
+        advance_time(milliseconds(20));
+    }
+
+    auto flow() const -> flow_key
+    {
+        return flow_from_caller(data(port, request_bytes));
+    }
+};
+
+} // namespace
+
+TEST_CASE("power loss: a flow that no server holds is reset")
+{
+    lost_flow_fixture it;
+    it.receive_request();
+    CHECK(it.resets.empty());
+    it.deny_by_all();
+    REQUIRE(it.resets.size() == 1);
+    CHECK(it.resets.front() == it.data(port, 0).source);
+    CHECK(it.core->counters().lost == 1);
+    // Nothing is left to ask for.
+    const auto queries = it.queries_to(1).size();
+    it.advance_time(seconds(1));
+    CHECK(it.queries_to(1).size() == queries);
+}
+
+TEST_CASE("a flow is not reset while one agent has not replied")
+{
+    lost_flow_fixture it;
+    it.receive_request();
+    it.deny_queries(1);
+    it.advance_time(seconds(2));
+    CHECK(it.resets.empty());
+    CHECK(it.queries_to(2).size() > 1);
+    it.deny_queries(2);
+    it.advance_time(milliseconds(20));
+    CHECK(it.resets.size() == 1);
+}
+
+TEST_CASE("a flow is not reset while an agent is not certain about its server")
+{
+    lost_flow_fixture it;
+    it.receive_request();
+    it.deny_queries(1);
+    const auto query = it.queries_to(2).back();
+    it.reply(2, {query.sequence, it.members->agents_digest(), {}, {}});
+    it.advance_time(seconds(1));
+    CHECK(it.resets.empty());
+    // Its server returns the packet, and the agent answers the search.
+    it.receive_notice(port, label_kind::unowned, 2);
+    it.advance_time(milliseconds(20));
+    CHECK(it.resets.size() == 1);
+}
+
+TEST_CASE("a flow is not reset while a member knows another agent")
+{
+    lost_flow_fixture it;
+    it.receive_request();
+    it.deny_queries(1);
+    const auto query = it.queries_to(2).back();
+    const auto other_digest = it.members->agents_digest() + 1;
+    it.reply(2, {query.sequence, other_digest, {}, query.flows});
+    it.advance_time(milliseconds(20));
+    CHECK(it.resets.empty());
+
+    // The other agent becomes known here, too, and must be asked as well.
+    it.announce(it.record_of(3));
+    it.advance_time(seconds(1));
+    it.deny_queries(1);
+    it.deny_queries(2);
+    it.advance_time(milliseconds(20));
+    CHECK(it.resets.empty());
+    it.deny_queries(3);
+    it.advance_time(milliseconds(20));
+    CHECK(it.resets.size() == 1);
+}
+
+TEST_CASE("balancers must know the same agents, too")
+{
+    lost_flow_fixture it;
+    auto balancer = it.record_of(9);
+    balancer.kind = member_kind::balancer;
+    it.announce(balancer);
+    it.receive_request();
+    it.deny_by_all();
+    CHECK(it.resets.empty());
+    const auto query = it.queries_to(9).back();
+    it.reply(9, {query.sequence, it.members->agents_digest(), {}, {}});
+    it.advance_time(milliseconds(20));
+    CHECK(it.resets.size() == 1);
+}
+
+TEST_CASE("agents of other services are asked for a flow, too")
+{
+    lost_flow_fixture it;
+    auto other = it.record_of(5);
+    other.service_name = "surveys";
+    it.announce(other);
+    it.advance_time(settled);
+    it.receive_request();
+    it.deny_by_all();
+    CHECK(it.resets.empty());
+    it.deny_queries(5);
+    it.advance_time(milliseconds(20));
+    CHECK(it.resets.size() == 1);
+}
+
+TEST_CASE("a packet is relayed to the agent of another service that holds it")
+{
+    lost_flow_fixture it;
+    auto other = it.record_of(5);
+    other.service_name = "surveys";
+    it.announce(other);
+    it.advance_time(settled);
+    it.receive_request();
+    const auto query = it.queries_to(5).back();
+    it.reply(5, {query.sequence, it.members->agents_digest(), {it.flow()}, {}});
+    REQUIRE(it.count_labelled(label_kind::relay) == 1);
+    const auto& relayed = it.sent.back();
+    CHECK(relayed.to == other.data_address);
+    CHECK(relayed.label.service == service_tag_of("surveys"));
+    it.deny_by_all();
+    CHECK(it.resets.empty());
+    // An opening packet stays with the service of its route.
+    it.receive_from_balancer(it.opening(port));
+    CHECK(it.count_labelled(label_kind::relay) == 1);
+}
+
+TEST_CASE("a flow is not reset while the server of a departed agent may live")
+{
+    for (const auto state : {member_state::dead, member_state::left})
+    {
+        lost_flow_fixture it;
+        auto gone = it.record_of(2);
+        gone.state = state;
+        it.announce(gone);
+        it.advance_time(settled);
+        it.receive_request();
+        it.deny_by_all(1);
+        CHECK(it.resets.empty());
+
+        SUBCASE("its agent starts again and denies the flow")
+        {
+            gone.state = member_state::ready;
+            gone.incarnation = 2;
+            it.announce(gone);
+            it.advance_time(seconds(1));
+            it.deny_by_all();
+            CHECK(it.resets.size() == 1);
+        }
+        SUBCASE("another server has its address")
+        {
+            auto next = it.record_of(3);
+            next.data_address = gone.data_address;
+            it.announce(next);
+            it.advance_time(seconds(1));
+            it.deny_queries(1);
+            it.deny_queries(3);
+            it.advance_time(milliseconds(20));
+            CHECK(it.resets.size() == 1);
+        }
+        SUBCASE("no flow of it can be left")
+        {
+            it.advance_time(seconds(60));
+            it.receive_request();
+            it.deny_by_all(1);
+            CHECK(it.resets.size() == 1);
+        }
+    }
+}
+
+TEST_CASE("a departed agent that had no server holds no flows")
+{
+    lost_flow_fixture it;
+    auto gone = it.record_of(2);
+    SUBCASE("it left after its server")
+    {
+        gone.state = member_state::left;
+    }
+    SUBCASE("its VM was removed")
+    {
+        gone.state = member_state::dead;
+    }
+    gone.slots = 0;
+    it.announce(gone);
+    it.advance_time(settled);
+    it.receive_request();
+    it.deny_by_all(1);
+    CHECK(it.resets.size() == 1);
+}
+
+TEST_CASE("a flow is not reset if an unknown agent has departed lately")
+{
+    lost_flow_fixture it;
+    auto gone = it.record_of(4);
+    gone.state = member_state::dead;
+    it.announce(gone);
+    it.advance_time(settled);
+    it.receive_request();
+    it.deny_by_all();
+    CHECK(it.resets.empty());
+}
+
+TEST_CASE("a restarted agent resets a flow only if its server returns a packet")
+{
+    agent_fixture it;
+    it.heartbeat(9);
+    it.advance_time(settled);
+    const auto request = it.data(port, request_bytes);
+    it.receive_from_balancer(request);
+    REQUIRE(it.to_server.size() == 1);
+    SUBCASE("the server is silent")
+    {
+        it.advance_time(until_query);
+        it.receive_from_balancer(request);
+        it.advance_time(until_query);
+        it.deny_queries(1);
+        it.deny_queries(2);
+        it.advance_time(seconds(1));
+        CHECK(it.resets.empty());
+    }
+    SUBCASE("the server returns it")
+    {
+        it.return_packet(request);
+        it.advance_time(until_query);
+        it.deny_queries(1);
+        it.deny_queries(2);
+        it.advance_time(milliseconds(20));
+        CHECK(it.resets.size() == 1);
+    }
+}
+
+TEST_CASE("a paused agent does not act on replies from before the pause")
+{
+    lost_flow_fixture it;
+    it.receive_request();
+    it.deny_queries(1);
+    it.deny_queries(2);
+    it.now += seconds(2);
+    it.core->tick(it.now);
+    it.advance_time(milliseconds(200));
+    CHECK(it.resets.empty());
+    it.deny_queries(1);
+    it.deny_queries(2);
+    it.advance_time(milliseconds(20));
+    CHECK(it.resets.size() == 1);
+}
+
+TEST_CASE("a flow that is opened anew is not reset by older denials")
+{
+    lost_flow_fixture it;
+    it.receive_request();
+    it.receive_from_balancer(it.opening(port));
+    it.deny_by_all();
+    CHECK(it.resets.empty());
+}
+
+TEST_CASE("only a packet that needs an answer leads to a reset")
+{
+    lost_flow_fixture it;
+    it.receive_from_balancer(it.data(port, 0));
+    it.advance_time(until_query);
+    CHECK(it.queries_to(1).empty());
+}
+
+TEST_CASE("an agent denies a flow only if it knows all flows of its server")
+{
+    agent_fixture it;
+    const auto ask = [&](const flow_key& flow) -> flow_reply_message
+    {
+        it.controls.clear();
+        it.core->on_control(
+            it.now, {it.record_of(1).id, 1, flow_query_message{3, {flow}}});
+        return std::get<flow_reply_message>(it.controls.back().message.body);
+    };
+    const auto unknown = flow_from_caller(it.data(8, 0));
+    // No heartbeat yet: the server may be older than the agent.
+    CHECK(ask(unknown).absent.empty());
+    it.heartbeat(1);
+    CHECK(ask(unknown).absent.size() == 1);
+    it.open_flow(port);
+    const auto reply = ask(flow_from_caller(it.data(port, 0)));
+    CHECK(reply.held.size() == 1);
+    CHECK(reply.absent.empty());
+    CHECK(reply.sequence == 3);
+    CHECK(reply.agents_digest == it.members->agents_digest());
+}
+
+TEST_CASE("a restarted agent denies a flow once its server has returned it")
+{
+    agent_fixture it;
+    it.heartbeat(9);
+    auto asked = it.data(port, request_bytes);
+    asked.label.kind = label_kind::locate;
+    it.core->on_packet(it.now, it.address_of(2), asked);
+    CHECK(it.notices.empty());
+    it.return_packet(asked);
+    REQUIRE(it.notices.size() == 1);
+    CHECK(it.notices.front().to == it.address_of(2));
+    CHECK(it.notices.front().label.kind == label_kind::unowned);
+}
+
+TEST_CASE("an agent whose server has left reports no slots")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    CHECK(it.members->self().slots == 2);
+    it.core->on_leave(it.now, "server");
+    CHECK(it.members->self().slots == 0);
+}
