--- a/modules/io/daemons/packet_process.cpp
+++ b/modules/io/daemons/packet_process.cpp
@@ -33,6 +33,9 @@
 constexpr millis join_interval_when_alone = milliseconds(50);
 constexpr std::uint32_t join_requests_when_alone = 4;
 constexpr std::uint32_t join_answers = 5;
+// After a start in common the first answers hold only some of the members;
+// what is not known yet gets no flows.
+constexpr millis join_interval = milliseconds(250);
 
 auto loop_settings_of(const packet_process_settings& settings)
     -> process_loop_settings
@@ -55,6 +58,7 @@
     out.gossip_interval = gossip_interval;
     out.probe_timeout = probe_timeout;
     out.probe_interval = probe_interval;
+    out.join_interval = join_interval;
     out.join_interval_when_alone = join_interval_when_alone;
     out.join_requests_when_alone = join_requests_when_alone;
     out.join_answers = join_answers;
