After a mass restart packets find their flows by the way of the opening packet

Full copies of the members were asked for once a second; the agents that an owner notifies were not those that balancers sent packets to, so packets of flows that had just been opened were searched for until the limit of searches was reached and then dropped; a tenth of the agents had no server and were offered flows all the same, and flows settled at agents that could not take them were dropped.

--- a/modules/io/daemons/packet_process.cpp
+++ b/modules/io/daemons/packet_process.cpp
@@ -101,8 +101,9 @@
     out.id = member_id_of(settings_.name);
     out.incarnation = static_cast<incarnation_number>(clock::wall().count);
     out.kind = settings_.kind;
-    // An agent without a server yet passes flows on: it may be sent any.
-    out.state = member_state::ready;
+    // An agent is ready once its server has announced itself.
+    out.state = settings_.kind == member_kind::agent ? member_state::joining
+                                                     : member_state::ready;
     out.name = settings_.name;
     out.data_centre = settings_.data_centre;
     out.data_address = settings_.packets;
--- a/modules/packets/agent/agent_state.cpp
+++ b/modules/packets/agent/agent_state.cpp
@@ -9,8 +9,10 @@
 namespace
 {
 
-// Maximum number of hops of a packet between agents.
-constexpr std::uint8_t relay_hops_max = 4;
+// Maximum number of hops of a packet between agents: an opening packet is
+// offered to up to eight agents and then settles, and the packets that follow
+// it may take the same way.
+constexpr std::uint8_t relay_hops_max = 10;
 
 auto uses_slot(flow_phase phase) -> bool
 {
@@ -205,6 +207,16 @@
     return true;
 }
 
+auto agent_state::remember_offer(millis now, const flow_packet& opening,
+                                 member_id to) -> void
+{
+    if (const auto* record = members.find(to))
+    {
+        offers.set(now,
+                   {flow_from_caller(opening), to, record->incarnation, 0});
+    }
+}
+
 // Returns true if the server and this process both accept new flows.
 auto agent_state::accepts_new_flows(millis now) const -> bool
 {
--- a/modules/packets/agent/agent_state.hpp
+++ b/modules/packets/agent/agent_state.hpp
@@ -30,6 +30,10 @@
     auto set_phase(millis now, owned_flow& row, flow_phase phase) -> void;
     auto remove_flow(millis now, const flow_key& flow) -> void;
     auto opening_of(millis now, const owned_flow& row) const -> flow_packet;
+    // Remembers the agent that the opening packet of a flow was sent on to: the
+    // owner, or another agent that remembers the next one.
+    auto remember_offer(millis now, const flow_packet& opening, member_id to)
+        -> void;
     auto accepts_new_flows(millis now) const -> bool;
     auto may_have_unknown_flows(millis now) const -> bool;
 
@@ -57,6 +61,8 @@
     service_candidates candidates;
     table<flow_key, owned_flow> flows;
     redirect_table redirects;
+    // Where opening packets were sent on to, until their owners are known.
+    redirect_table offers;
     packet_agent_counters counters;
     bool draining = false;
 };
--- a/modules/packets/agent/flow_expiry.cpp
+++ b/modules/packets/agent/flow_expiry.cpp
@@ -18,6 +18,8 @@
 // The last packets of a closed flow are retransmitted for about this long. A
 // probed flow that the server does not hold has been returned long before.
 constexpr millis closed_flow_retention = seconds(2);
+// The first agents of the order know the owner of a flow long before.
+constexpr millis offer_retention = seconds(5);
 constexpr millis expiry_interval = milliseconds(20);
 constexpr millis table_expiry_interval = seconds(1);
 
@@ -49,6 +51,7 @@
     {
         next_table_expiry_ = now + table_expiry_interval;
         state_.redirects.expire(now, state_.settings.flow_lifetime);
+        state_.offers.expire(now, offer_retention);
     }
 }
 
--- a/modules/packets/agent/flow_opener.cpp
+++ b/modules/packets/agent/flow_opener.cpp
@@ -116,6 +116,7 @@
     label.hops = static_cast<std::uint8_t>(
         std::max<std::size_t>(std::size_t{label.hops} + 1, next));
     ++state_.counters.forwarded_offers;
+    state_.remember_offer(now, packet, order[next]);
     state_.send_to(order[next], packet, label);
 }
 
@@ -179,17 +180,40 @@
         return;
     }
     ++state_.counters.settled_elsewhere;
+    state_.remember_offer(now, packet, target);
     state_.send_to(target, packet, label);
 }
 
-auto flow_opener::settle(millis now, const flow_packet& packet) -> void
+// The agent that chose this one counted positions in another view of the
+// members, or the server has stopped accepting flows since: the packet settles
+// at the next agent of the order.
+auto flow_opener::pass_on(millis now, const flow_packet& packet) -> void
 {
     const auto flow = flow_from_caller(packet);
-    if (!state_.accepts_new_flows(now))
+    auto order = offer_order(flow);
+    std::erase(order, state_.members.self().id);
+    auto label = packet.label;
+    if (order.empty() || label.hops >= packet_label::hops_max)
     {
         ++state_.counters.dropped;
         state_.emit(state_.flow_event("flow_dropped", flow)
-                        .with("reason", "server_gone"));
+                        .with("reason", "server_gone")
+                        .with("agents", std::uint64_t{order.size()})
+                        .with("hops", std::uint64_t{label.hops}));
+        return;
+    }
+    const auto target = order[label.hops % order.size()];
+    ++label.hops;
+    ++state_.counters.settled_elsewhere;
+    state_.remember_offer(now, packet, target);
+    state_.send_to(target, packet, label);
+}
+
+auto flow_opener::settle(millis now, const flow_packet& packet) -> void
+{
+    if (!state_.accepts_new_flows(now))
+    {
+        pass_on(now, packet);
         return;
     }
     switch (state_.admission.decide(now, packet.label.urgency,
--- a/modules/packets/agent/flow_opener.hpp
+++ b/modules/packets/agent/flow_opener.hpp
@@ -53,6 +53,7 @@
                      std::span<const member_id> order, packet_label label)
         -> void;
     auto settle(millis now, const flow_packet& packet) -> void;
+    auto pass_on(millis now, const flow_packet& packet) -> void;
     auto enqueue(millis now, const flow_packet& packet) -> void;
     auto start_flow(millis now, const flow_packet& packet) -> void;
     auto refuse(millis now, const flow_packet& opening, std::string_view reason)
--- a/modules/packets/agent/lost_flow_detector.cpp
+++ b/modules/packets/agent/lost_flow_detector.cpp
@@ -131,7 +131,7 @@
 
 auto lost_flow_detector::send_queries(millis now) -> void
 {
-    if (now < next_query_at_ || !census_.is_settled(now))
+    if (now < next_query_at_)
     {
         return;
     }
--- a/modules/packets/agent/open_flow_router.cpp
+++ b/modules/packets/agent/open_flow_router.cpp
@@ -70,6 +70,11 @@
         }
         state_.redirects.erase(flow);
     }
+    const auto* offered = state_.offers.touch(now, flow);
+    if (offered != nullptr && state_.relay(from, packet, *offered))
+    {
+        return;
+    }
     if (state_.may_have_unknown_flows(now) && !locator_.has_recent_search(flow))
     {
         probe_server(now, packet);
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -156,11 +156,22 @@
     update_own_record(now);
 }
 
+// New flows are only given to agents in the state ready.
+auto packet_agent::own_state() const -> member_state
+{
+    const auto& server = state_.server;
+    if (state_.draining || server.is_draining())
+    {
+        return member_state::draining;
+    }
+    return server.is_known() && !server.is_absent() ? member_state::ready
+                                                    : member_state::joining;
+}
+
 auto packet_agent::update_own_record(millis now) -> void
 {
     const auto& own = state_.members.self();
-    const auto leaves = state_.draining || state_.server.is_draining();
-    const auto state = leaves ? member_state::draining : member_state::ready;
+    const auto state = own_state();
     if (own.service_name != state_.server.service_name())
     {
         state_.members.set_service(now, state_.server.service_name());
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -63,6 +63,7 @@
     auto counters() const -> const packet_agent_counters&;
 
 private:
+    auto own_state() const -> member_state;
     auto update_own_record(millis now) -> void;
     auto look_for_server(millis now) -> void;
 
--- a/modules/packets/balancer/packet_balancer.cpp
+++ b/modules/packets/balancer/packet_balancer.cpp
@@ -97,9 +97,9 @@
 }
 
 // A retransmitted opening packet is sent to another agent, because the home
-// agent may be unreachable. The flow that it opens must not depend on the home
-// agent either: the agent that received the retransmission owns the flow or is
-// notified of the owner.
+// agent may be unreachable. The next packets of the flow are sent to the agent
+// that received this one, which owns the flow or is notified of the owner:
+// another agent may have become the home when members have changed.
 auto packet_balancer::place_flow(millis now, const flow_packet& packet,
                                  const route& matched, const flow_key& flow)
     -> void
@@ -114,9 +114,9 @@
         return;
     }
     send(target->address, packet, matched, service_name);
+    hints_.learn(flow, target->id);
     if (packet.retransmissions > 0)
     {
-        hints_.learn(flow, target->id);
         report_unanswered_agent(now, targets, packet, flow);
     }
     if (hooks_.events)
--- a/tests/unit/packet_balancer_test.cpp
+++ b/tests/unit/packet_balancer_test.cpp
@@ -149,3 +149,22 @@
     fresh.suspect(home);
     CHECK(fresh.send_acknowledgement(7) == next);
 }
+
+TEST_CASE("packets of a flow follow its opening packet when members change")
+{
+    packet_balancer_fixture it;
+    constexpr std::uint16_t flows = 50;
+    std::vector<endpoint> opened_at;
+    for (std::uint16_t port = 1; port <= flows; ++port)
+    {
+        opened_at.push_back(it.open(port, 0));
+    }
+    for (std::uint32_t n = agents + 1; n <= agents * 4; ++n)
+    {
+        it.receive_gossip(record_of(n, member_kind::agent));
+    }
+    for (std::uint16_t port = 1; port <= flows; ++port)
+    {
+        CHECK(it.send_acknowledgement(port) == opened_at[port - 1U]);
+    }
+}
