A retransmitted request holds no slot; agents that are not certain are sent the packet

After a change of weights a route leads to another service, whose home got a second copy of each packet of the old flows; the new query found the owner and sent the copy on. It arrived after the answer, counted as a request and held a slot until the bound of 8 s: agents had 17 of 4 slots busy. Any late retransmission did the same before. Change: data that the server has had already starts no request. Change: an agent that replies without denying is sent the packet, which its server returns; an agent without a server need not reply.

Ruled out: searches and hints (the flows were found; 0 queries failed), lost gossip (every balancer knew all 48 agents).

--- a/modules/packets/agent/agent_census.cpp
+++ b/modules/packets/agent/agent_census.cpp
@@ -12,6 +12,16 @@
 {
 }
 
+auto agent_census::may_hold_flows(const member_record& record) -> bool
+{
+    return record.kind == member_kind::agent && record.slots > 0;
+}
+
+auto agent_census::must_reply(const member_record& record) -> bool
+{
+    return record.kind == member_kind::balancer || may_hold_flows(record);
+}
+
 auto agent_census::refresh(millis now) -> void
 {
     if (members_.epoch() == epoch_)
@@ -43,8 +53,7 @@
 
 auto agent_census::on_departed(millis now, const member_record& record) -> void
 {
-    // An agent without a server reports no slots.
-    if (record.slots > 0)
+    if (may_hold_flows(record))
     {
         departed_.try_emplace(record.id,
                               departed_agent{record.data_address, now});
@@ -69,7 +78,9 @@
 
 auto agent_census::agrees(member_id id, std::uint64_t query) const -> bool
 {
-    return id == members_.self().id || agreed_query(id) >= query;
+    const auto* record = members_.find(id);
+    const auto excused = record == nullptr || !must_reply(*record);
+    return excused || id == members_.self().id || agreed_query(id) >= query;
 }
 
 // Returns the last query that this member has replied to with the digest of
@@ -98,7 +109,7 @@
     const auto n = std::count_if(departed_.begin(), departed_.end(),
                                  [&](const auto& it)
                                  {
-                                     return may_hold_flows(now, it.second);
+                                     return is_of_concern(now, it.second);
                                  });
     return static_cast<std::size_t>(n);
 }
@@ -112,14 +123,16 @@
     auto query = std::numeric_limits<std::uint64_t>::max();
     for (const auto id : members_.live())
     {
-        const auto self = id == members_.self().id;
-        query = self ? query : std::min(query, agreed_query(id));
+        const auto* record = members_.find(id);
+        const auto excused = record == nullptr || !must_reply(*record) ||
+                             id == members_.self().id;
+        query = excused ? query : std::min(query, agreed_query(id));
     }
     return query;
 }
 
 // A server that started at the address of another one has replaced it.
-auto agent_census::may_hold_flows(millis now, const departed_agent& it) const
+auto agent_census::is_of_concern(millis now, const departed_agent& it) const
     -> bool
 {
     return now - it.since < flow_lifetime_ && !is_address_in_use(it.address);
--- a/modules/packets/agent/agent_census.hpp
+++ b/modules/packets/agent/agent_census.hpp
@@ -14,8 +14,9 @@
 //
 // Each query to the members has a number, and each reply carries the digest of
 // the agents that its sender knows. The census is complete for a query once
-// every live member has replied to it, or to a later one, with the digest of
-// this process, and no agent has departed whose server may live on.
+// every live balancer, and every live agent with a server, has replied to it,
+// or to a later one, with the digest of this process, and no agent has departed
+// whose server may live on.
 class agent_census
 {
 public:
@@ -32,6 +33,14 @@
     agent_census(const member_view& members, millis flow_lifetime,
                  millis started_at);
 
+    // Returns false for an agent that reports no slots: it has no server, so no
+    // flow is open there.
+    static auto may_hold_flows(const member_record& record) -> bool;
+
+    // Returns true if this member must reply: a balancer, or an agent that may
+    // hold flows.
+    static auto must_reply(const member_record& record) -> bool;
+
     // Follows changes of the members. Call on each tick.
     auto refresh(millis now) -> void;
 
@@ -73,7 +82,7 @@
     };
 
     auto agreed_query(member_id id) const -> std::uint64_t;
-    auto may_hold_flows(millis now, const departed_agent& it) const -> bool;
+    auto is_of_concern(millis now, const departed_agent& it) const -> bool;
     auto is_address_in_use(const endpoint& address) const -> bool;
 
     const member_view& members_;
--- a/modules/packets/agent/lost_flow_detector.cpp
+++ b/modules/packets/agent/lost_flow_detector.cpp
@@ -82,6 +82,28 @@
     }
     census_.on_reply(from, reply.sequence, reply.agents_digest);
     has_news_ = true;
+    show_packets(now, from, reply.sequence);
+}
+
+// A member that has replied to a query without denying a flow is not certain.
+auto lost_flow_detector::show_packets(millis now, member_id to,
+                                      std::uint64_t query) -> void
+{
+    for (auto& [flow, it] : rows_.rows())
+    {
+        const auto shown = std::find(it.shown_to.begin(), it.shown_to.end(),
+                                     to) != it.shown_to.end();
+        if (it.query > query || shown || has_denied(it, to))
+        {
+            continue;
+        }
+        auto packet = it.packet;
+        packet.datagram = it.bytes;
+        if (hooks_.show_packet(now, packet, to))
+        {
+            it.shown_to.push_back(to);
+        }
+    }
 }
 
 auto lost_flow_detector::tick(millis now) -> void
@@ -166,7 +188,7 @@
     for (const auto& [flow, it] : rows_.rows())
     {
         const auto must_deny =
-            record.kind == member_kind::agent && !has_denied(it, record.id);
+            agent_census::may_hold_flows(record) && !has_denied(it, record.id);
         const auto due = now - it.since >= query_delay;
         if (due && (must_deny || !census_.agrees(record.id, it.query)) &&
             out.size() < flows_per_query)
@@ -216,7 +238,7 @@
                        {
                            const auto* record = members_.find(id);
                            return record == nullptr ||
-                                  record->kind != member_kind::agent ||
+                                  !agent_census::may_hold_flows(*record) ||
                                   has_denied(it, id);
                        });
 }
--- a/modules/packets/agent/lost_flow_detector.hpp
+++ b/modules/packets/agent/lost_flow_detector.hpp
@@ -42,6 +42,10 @@
     // The flow is open at no server: its caller can be reset.
     std::function<void(millis now, const lost_flow&)> lost;
     std::function<void(const undecided_flow&)> undecided;
+    // A member cannot tell whether its server holds the flow of this packet.
+    // Returns true if the packet was sent to it: its server returns the packet
+    // if it does not hold the flow.
+    std::function<bool(millis now, const flow_packet&, member_id)> show_packet;
 };
 
 // Proves that flows are lost, so that their callers can retry at once instead
@@ -102,8 +106,11 @@
         std::uint64_t query = 0;
         // Sorted.
         std::vector<member_id> denied_by;
+        // Members that were sent the packet.
+        std::vector<member_id> shown_to;
     };
 
+    auto show_packets(millis now, member_id to, std::uint64_t query) -> void;
     auto discard_after_pause(millis now) -> void;
     auto expire(millis now) -> void;
     auto send_queries(millis now) -> void;
--- a/modules/packets/agent/open_flow_router.cpp
+++ b/modules/packets/agent/open_flow_router.cpp
@@ -154,6 +154,16 @@
 auto open_flow_router::note_request(millis now, owned_flow& row,
                                     const flow_packet& packet) -> void
 {
+    // A retransmission of data that the server has may arrive after the answer,
+    // and would never be answered again.
+    const auto end = packet.sequence + packet.payload_bytes;
+    const auto repeated = row.data_end.has_value() &&
+                          static_cast<std::int32_t>(end - *row.data_end) <= 0;
+    if (repeated)
+    {
+        return;
+    }
+    row.data_end = end;
     const auto more_follows =
         packet.payload_bytes >= state_.settings.full_payload_bytes;
     const auto phase =
--- a/modules/packets/agent/owned_flow.hpp
+++ b/modules/packets/agent/owned_flow.hpp
@@ -45,6 +45,9 @@
     millis last_used;
     // Last acknowledgement number of the caller, needed to send a reset.
     std::uint32_t caller_acknowledged = 0;
+    // End of the caller's data so far, as a sequence number; empty if none has
+    // been seen.
+    std::optional<std::uint32_t> data_end;
     // Initial sequence number of the server, from its answer to the opening
     // packet.
     std::optional<std::uint32_t> server_sequence;
--- a/modules/packets/agent/owner_locator.cpp
+++ b/modules/packets/agent/owner_locator.cpp
@@ -25,6 +25,10 @@
            [this](const undecided_flow& flow)
            {
                on_undecided(flow);
+           },
+           [this](millis now, const flow_packet& packet, member_id to)
+           {
+               return show_packet(now, packet, to);
            }})
 {
 }
@@ -230,6 +234,24 @@
     state_.hooks.send_reset(flow.route, flow.caller, flow.acknowledged);
 }
 
+// Only servers of the own service are shown packets of its flows.
+auto owner_locator::show_packet(millis now, const flow_packet& packet,
+                                member_id to) -> bool
+{
+    const auto* record = state_.members.find(to);
+    const auto serves_flow = record != nullptr &&
+                             record->kind == member_kind::agent &&
+                             service_tag_of(record->service_name) == state_.tag;
+    if (!serves_flow || !searches_.try_send(now))
+    {
+        return false;
+    }
+    auto label = packet.label;
+    label.kind = label_kind::locate;
+    label.service = state_.tag;
+    return state_.send_to(to, packet, label);
+}
+
 auto owner_locator::on_undecided(const undecided_flow& it) -> void
 {
     ++state_.counters.undecided;
--- a/modules/packets/agent/owner_locator.hpp
+++ b/modules/packets/agent/owner_locator.hpp
@@ -61,6 +61,8 @@
     auto on_found(millis now, const flow_packet& packet, member_id owner)
         -> void;
     auto on_lost(const lost_flow& flow) -> void;
+    auto show_packet(millis now, const flow_packet& packet, member_id to)
+        -> bool;
     auto on_undecided(const undecided_flow& it) -> void;
     auto send_query(const member_record& to, flow_query_message query) -> void;
 
--- a/modules/packets/agent/owner_search.cpp
+++ b/modules/packets/agent/owner_search.cpp
@@ -56,6 +56,17 @@
     return decision::search;
 }
 
+auto owner_search::try_send(millis now) -> bool
+{
+    refill(now);
+    if (tokens_ == 0)
+    {
+        return false;
+    }
+    --tokens_;
+    return true;
+}
+
 auto owner_search::has_recent_search(const flow_key& flow) const -> bool
 {
     return rows_.find(flow) != nullptr;
--- a/modules/packets/agent/owner_search.hpp
+++ b/modules/packets/agent/owner_search.hpp
@@ -52,6 +52,10 @@
     auto admit(millis now, const flow_key& flow, std::size_t agents)
         -> decision;
 
+    // Takes the token for a single message outside a search. Returns false if
+    // there is none.
+    auto try_send(millis now) -> bool;
+
     // Returns true if a search for the flow is in progress or has ended
     // recently.
     auto has_recent_search(const flow_key& flow) const -> bool;
--- a/tests/fakes/agent_fixture.cpp
+++ b/tests/fakes/agent_fixture.cpp
@@ -120,13 +120,15 @@
     return out;
 }
 
-auto agent_fixture::data(std::uint16_t port, std::uint16_t payload) const
+auto agent_fixture::data(std::uint16_t port, std::uint16_t payload)
     -> flow_packet
 {
     auto out = opening(port);
     out.opens = false;
     out.acknowledges = true;
     out.payload_bytes = payload;
+    out.sequence = data_sent[port];
+    data_sent[port] += payload;
     out.label.hops = 0;
     return out;
 }
--- a/tests/fakes/agent_fixture.hpp
+++ b/tests/fakes/agent_fixture.hpp
@@ -3,6 +3,7 @@
 
 #include "packets/packets.hpp"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -36,7 +37,7 @@
     // A packet of a caller, as a balancer forwards it.
     auto opening(std::uint16_t port, std::uint8_t copies = 0) const
         -> flow_packet;
-    auto data(std::uint16_t port, std::uint16_t payload) const -> flow_packet;
+    auto data(std::uint16_t port, std::uint16_t payload) -> flow_packet;
     auto receive_from_balancer(const flow_packet& packet) -> void;
     // A packet without flags or payload from the server to the caller at this
     // port.
@@ -71,6 +72,8 @@
     millis now = seconds(100);
     std::unique_ptr<member_view> members;
     std::unique_ptr<packet_agent> core;
+    // Bytes sent by the caller at each port.
+    std::map<std::uint16_t, std::uint32_t> data_sent;
     std::vector<flow_packet> to_server;
     std::vector<flow_packet> to_caller;
     std::vector<labelled_packet> sent;
--- a/tests/unit/lost_flow_test.cpp
+++ b/tests/unit/lost_flow_test.cpp
@@ -43,7 +43,7 @@
         advance_time(milliseconds(20));
     }
 
-    auto flow() const -> flow_key
+    auto flow() -> flow_key
     {
         return flow_from_caller(data(port, request_bytes));
     }
@@ -94,6 +94,26 @@
     CHECK(it.resets.size() == 1);
 }
 
+// After a common start the first heartbeat of a server may reach nobody, and
+// its agent takes the server for older than itself.
+TEST_CASE("an agent that is not certain is sent the packet once")
+{
+    lost_flow_fixture it;
+    it.receive_request();
+    it.deny_queries(1);
+    const auto searched = it.count_labelled(label_kind::locate);
+    const auto query = it.queries_to(2).back();
+    const flow_reply_message unsure{
+        query.sequence, it.members->agents_digest(), {}, {}};
+    it.reply(2, unsure);
+    it.reply(2, unsure);
+    CHECK(it.count_labelled(label_kind::locate) == searched + 1);
+    CHECK(it.sent.back().to == it.address_of(2));
+    it.receive_notice(port, label_kind::unowned, 2);
+    it.advance_time(milliseconds(20));
+    CHECK(it.resets.size() == 1);
+}
+
 TEST_CASE("a flow is not reset while a member knows another agent")
 {
     lost_flow_fixture it;
@@ -231,6 +251,19 @@
     CHECK(it.resets.size() == 1);
 }
 
+TEST_CASE("an agent without a server need not reply")
+{
+    lost_flow_fixture it;
+    auto idle = it.record_of(2);
+    idle.slots = 0;
+    ++idle.version;
+    it.announce(idle);
+    it.advance_time(settled);
+    it.receive_request();
+    it.deny_by_all(1);
+    CHECK(it.resets.size() == 1);
+}
+
 TEST_CASE("a flow is not reset if an unknown agent has departed lately")
 {
     lost_flow_fixture it;
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -80,6 +80,24 @@
     CHECK(it.core->admission().busy() == 0);
 }
 
+// Long flows: a packet may reach the server twice, by two ways or because its
+// acknowledgement was lost.
+TEST_CASE("a retransmitted request does not use a slot after its answer")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.open_flow(1);
+    const auto request = it.data(1, small_payload);
+    it.receive_from_balancer(request);
+    it.answer_by_server(1, false, small_payload);
+    REQUIRE(it.core->admission().busy() == 0);
+    it.receive_from_balancer(request);
+    CHECK(it.core->admission().busy() == 0);
+    // The next request of the flow uses one.
+    it.receive_from_balancer(it.data(1, small_payload));
+    CHECK(it.core->admission().busy() == 1);
+}
+
 TEST_CASE("the slot of an unresponsive caller is released")
 {
     agent_fixture it;
