An agent that is stopped before its first heartbeat looks for its server

Change: an agent that is stopped without having heard of its server looks at once. Ruled out: counting an agent that leaves without a heartbeat as one without a server; it may have been restarted beside a live one.

--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -149,9 +149,16 @@
     update_own_record(now);
 }
 
+// A process that is stopped right after its start has not heard of its server
+// yet. It must know whether there is one before it leaves: other members cannot
+// exclude that a departed agent's server holds flows.
 auto packet_agent::drain(millis now) -> void
 {
     state_.draining = true;
+    if (!state_.server.is_known() && state_.hooks.look_for_server)
+    {
+        state_.hooks.look_for_server(now);
+    }
     opener_.redistribute_queued_flows(now);
     update_own_record(now);
 }
--- a/tests/fakes/agent_fixture.cpp
+++ b/tests/fakes/agent_fixture.cpp
@@ -78,6 +78,10 @@
     {
         controls.push_back({to, message});
     };
+    hooks.look_for_server = [this](millis)
+    {
+        ++server_checks;
+    };
     hooks.events = [this](const event& value)
     {
         events.push_back(value.line());
--- a/tests/fakes/agent_fixture.hpp
+++ b/tests/fakes/agent_fixture.hpp
@@ -74,6 +74,8 @@
     std::unique_ptr<packet_agent> core;
     // Bytes sent by the caller at each port.
     std::map<std::uint16_t, std::uint32_t> data_sent;
+    // Number of times that the agent looked for a server process.
+    int server_checks = 0;
     std::vector<flow_packet> to_server;
     std::vector<flow_packet> to_caller;
     std::vector<labelled_packet> sent;
--- a/tests/unit/server_absent_test.cpp
+++ b/tests/unit/server_absent_test.cpp
@@ -67,6 +67,22 @@
     CHECK(it.members->self().slots == 2);
 }
 
+// A VM that is removed while it starts: its agent must not leave as one whose
+// server may live on, which would block proofs of lost flows for a minute.
+TEST_CASE("an agent stopped before the first heartbeat looks for its server")
+{
+    agent_fixture it;
+    it.core->drain(it.now);
+    REQUIRE(it.server_checks == 1);
+    it.core->on_server_not_found(it.now, it.now);
+    CHECK(it.members->self().slots == 0);
+    agent_fixture other;
+    other.heartbeat(1);
+    other.core->drain(other.now);
+    CHECK(other.server_checks == 0);
+    CHECK(other.members->self().slots == 2);
+}
+
 TEST_CASE("a server process is looked for only while there is doubt")
 {
     local_server it("orders", milliseconds(800));
