Members must agree on which agents have no server before a flow counts as lost

Change: the digest includes whether an agent has a server; of departed agents only one that left, whose record is its own last word, is excused. Ruled out: an agent that denies a flow it has (the row stays until both ends have closed), replies to older queries (the number of the query), resets of the server passed on (only of flows confirmed here).

--- a/modules/membership/member_view.hpp
+++ b/modules/membership/member_view.hpp
@@ -109,8 +109,8 @@
     // Returns the live members, this one included, sorted by id.
     auto live() const -> std::span<const member_id>;
 
-    // Digest of the ids and incarnations of all live agents. Two members with
-    // the same digest know the same agents.
+    // Digest of all live agents: their ids, incarnations, and whether they have
+    // a server. Two members with the same digest agree on these.
     auto agents_digest() const -> std::uint64_t;
 
     // Incremented whenever a record changes in a way that affects routing.
--- a/modules/membership/records/member_table.cpp
+++ b/modules/membership/records/member_table.cpp
@@ -58,7 +58,8 @@
 
 auto digest_of(const member_record& record) -> std::uint64_t
 {
-    const std::uint64_t words[] = {record.id, record.incarnation};
+    const std::uint64_t has_server = record.slots > 0 ? 1 : 0;
+    const std::uint64_t words[] = {record.id, record.incarnation, has_server};
     return XXH64(words, sizeof(words), 0);
 }
 
--- a/modules/membership/records/member_table.hpp
+++ b/modules/membership/records/member_table.hpp
@@ -68,8 +68,8 @@
     auto data_centres() const
         -> const std::map<std::string, std::vector<member_id>>&;
 
-    // Digest of the ids and incarnations of all live agents. Two tables with
-    // the same digest know the same agents.
+    // Digest of all live agents: their ids, incarnations, and whether they have
+    // a server. Two tables with the same digest agree on these.
     auto agents_digest() const -> std::uint64_t;
 
     auto epoch() const -> std::uint64_t;
--- a/modules/packets/agent/agent_census.cpp
+++ b/modules/packets/agent/agent_census.cpp
@@ -53,7 +53,9 @@
 
 auto agent_census::on_departed(millis now, const member_record& record) -> void
 {
-    if (may_hold_flows(record))
+    // The record of an agent that left is its own last word; that of a dead one
+    // may be out of date.
+    if (record.state != member_state::left || may_hold_flows(record))
     {
         departed_.try_emplace(record.id,
                               departed_agent{record.data_address, now});
