The census forgets members that have no record any more

Change: both are dropped once the member has no record and its flows have ended. Ruled out: dropping departed agents that still have a record, which would start their minute anew.

--- a/modules/packets/agent/agent_census.cpp
+++ b/modules/packets/agent/agent_census.cpp
@@ -49,6 +49,23 @@
             on_departed(now, record);
         }
     }
+    forget_unknown(now);
+}
+
+// Members without a record are remembered no longer than needed.
+auto agent_census::forget_unknown(millis now) -> void
+{
+    std::erase_if(replies_,
+                  [&](const auto& item)
+                  {
+                      return members_.find(item.first) == nullptr;
+                  });
+    std::erase_if(departed_,
+                  [&](const auto& item)
+                  {
+                      return members_.find(item.first) == nullptr &&
+                             now - item.second.since >= flow_lifetime_;
+                  });
 }
 
 auto agent_census::on_departed(millis now, const member_record& record) -> void
--- a/modules/packets/agent/agent_census.hpp
+++ b/modules/packets/agent/agent_census.hpp
@@ -20,8 +20,8 @@
 class agent_census
 {
 public:
-    // The known agents must not have changed for this long before members are
-    // asked; while news spreads, the replies would differ.
+    // The known agents must not have changed for this long: news that is
+    // spreading may have reached only the members that have replied.
     static constexpr millis settle_time = milliseconds(200);
 
     // For this long after its start, a process may know only some of the
@@ -44,7 +44,8 @@
     // Follows changes of the members. Call on each tick.
     auto refresh(millis now) -> void;
 
-    // Returns true if members can be asked.
+    // Returns true if this process is likely to know all members: it has run
+    // for some time, is in contact with others, and its view does not change.
     auto is_settled(millis now) const -> bool;
 
     auto on_reply(member_id from, std::uint64_t query, std::uint64_t digest)
@@ -81,6 +82,7 @@
         millis since;
     };
 
+    auto forget_unknown(millis now) -> void;
     auto agreed_query(member_id id) const -> std::uint64_t;
     auto is_of_concern(millis now, const departed_agent& it) const -> bool;
     auto is_address_in_use(const endpoint& address) const -> bool;
