--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -17,6 +17,10 @@
 // all agents of the service, and later packets of the flow are held until the
 // owner has answered.
 //
+// The parts decide: flow_opener where a new flow is opened, open_flow_router
+// where packets of open flows go, owner_locator whose flow an unknown one is or
+// whether it is lost, server_packet_handler what an answer of the server means.
+//
 // Call on_packet() for packets from balancers and agents, on_server_packet()
 // for packets from the server, on_heartbeat() and on_leave() for announcements
 // of the server, and tick() every 10 ms.
