Logs and metrics tell the store's era and what was read from it and not taken

The logs could not tell whether balancers read the value that the operators wrote after a restore, which revision it had, or that the store was restored at all. Now Store-Era travels from the response's header to store_reached, store_restored, store_value_ignored, configuration_ignored and the metrics; what the members' directory writes is told with era and revision.

--- a/modules/io/http/http_client.cpp
+++ b/modules/io/http/http_client.cpp
@@ -43,7 +43,8 @@
                   [this](http_reader::message&& message)
                   {
                       response_ = {message.status, "application/json",
-                                   std::move(message.body)};
+                                   std::move(message.body),
+                                   std::move(message.headers)};
                       keep_alive_ = message.keep_alive;
                       complete_ = true;
                   })
--- a/modules/io/http/http_message.hpp
+++ b/modules/io/http/http_message.hpp
@@ -2,6 +2,9 @@
 #define BRIARDRUM_IO_HTTP_HTTP_MESSAGE_HPP
 
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace briardrum
 {
@@ -20,11 +23,20 @@
     std::string body;
 };
 
+// Header fields in the order in which they were received.
+using http_headers = std::vector<std::pair<std::string, std::string>>;
+
+// Returns the value of the first field of this name, in any case, or nullptr.
+auto find_header(const http_headers& headers, std::string_view name)
+    -> const std::string*;
+
 struct http_response
 {
     int status = http_ok;
     std::string content_type = "text/plain";
     std::string body;
+    // Only filled in responses that were received.
+    http_headers headers = {};
 };
 
 } // namespace briardrum
--- a/modules/io/http/http_reader.cpp
+++ b/modules/io/http/http_reader.cpp
@@ -34,6 +34,34 @@
     out.on_message_begin = [](http_parser* parser)
     {
         self(parser).message_ = {};
+        self(parser).in_header_value_ = true;
+        return 0;
+    };
+    out.on_header_field =
+        [](http_parser* parser, const char* text, std::size_t n)
+    {
+        auto& it = self(parser);
+        if (parser->type != HTTP_RESPONSE)
+        {
+            return 0;
+        }
+        if (std::exchange(it.in_header_value_, false))
+        {
+            it.message_.headers.emplace_back();
+        }
+        it.message_.headers.back().first.append(text, n);
+        return 0;
+    };
+    out.on_header_value =
+        [](http_parser* parser, const char* text, std::size_t n)
+    {
+        auto& it = self(parser);
+        if (parser->type != HTTP_RESPONSE)
+        {
+            return 0;
+        }
+        it.in_header_value_ = true;
+        it.message_.headers.back().second.append(text, n);
         return 0;
     };
     out.on_url = [](http_parser* parser, const char* text, std::size_t n)
--- a/modules/io/http/http_reader.hpp
+++ b/modules/io/http/http_reader.hpp
@@ -30,6 +30,8 @@
         std::string method;
         std::string target;
         int status = 0;
+        // Only read from responses.
+        http_headers headers;
         std::string body;
         bool keep_alive = false;
     };
@@ -51,6 +53,8 @@
     std::size_t body_bytes_max_;
     std::function<void(message&&)> on_message_;
     message message_;
+    // The parser hands on names and values of header fields in pieces.
+    bool in_header_value_ = false;
 };
 
 } // namespace briardrum
--- a/modules/node/store/document_watch.cpp
+++ b/modules/node/store/document_watch.cpp
@@ -69,7 +69,8 @@
         schedule_retry(result.status());
         return;
     }
-    mark_connected();
+    update_era(result->era, result->revision);
+    mark_connected(result->revision);
     for (const auto& it : result->values)
     {
         deliver_if_newer(it.value, it.mod_revision);
@@ -103,13 +104,17 @@
         schedule_retry(batch.status());
         return;
     }
-    mark_connected();
+    update_era(batch->era, batch->revision);
+    mark_connected(batch->revision);
     if (batch->compacted)
     {
         if (hooks_.events)
         {
             hooks_.events(event("store_history_lost", event_level::warning)
-                              .with("key", settings_.key));
+                              .with("key", settings_.key)
+                              .with("watched_from", static_cast<std::uint64_t>(
+                                                        watch_start_revision_))
+                              .with("era", era()));
         }
         store_.cancel_watch(watch_);
         read();
@@ -129,18 +134,63 @@
 {
     if (mod_revision <= revision_)
     {
+        report_ignored(mod_revision);
         return;
     }
     revision_ = mod_revision;
     hooks_.on_value(value, mod_revision);
 }
 
-auto document_watch::mark_connected() -> void
+// The value delivered last is read again after each loss of the store; only
+// others are told.
+auto document_watch::report_ignored(store_revision mod_revision) -> void
+{
+    if (mod_revision == revision_)
+    {
+        return;
+    }
+    ++ignored_values_;
+    if (hooks_.events)
+    {
+        hooks_.events(
+            event("store_value_ignored", event_level::warning)
+                .with("key", settings_.key)
+                .with("revision", static_cast<std::uint64_t>(mod_revision))
+                .with("held_revision", static_cast<std::uint64_t>(revision_))
+                .with("era", era()));
+    }
+}
+
+auto document_watch::update_era(store_era era, store_revision revision) -> void
+{
+    const auto before = std::exchange(era_, era);
+    if (!before.has_value() || *before == era)
+    {
+        return;
+    }
+    ++restorations_;
+    if (hooks_.events)
+    {
+        hooks_.events(
+            event("store_restored", event_level::warning)
+                .with("key", settings_.key)
+                .with("era", era)
+                .with("was", *before)
+                .with("revision", static_cast<std::uint64_t>(revision))
+                .with("held_revision", static_cast<std::uint64_t>(revision_)));
+    }
+}
+
+auto document_watch::mark_connected(store_revision revision) -> void
 {
     backoff_ = settings_.retry_interval;
     if (!connected_ && hooks_.events)
     {
-        hooks_.events(event("store_reached").with("key", settings_.key));
+        hooks_.events(
+            event("store_reached")
+                .with("key", settings_.key)
+                .with("revision", static_cast<std::uint64_t>(revision))
+                .with("era", era()));
     }
     connected_ = true;
     loss_reported_ = false;
@@ -173,4 +223,19 @@
     return revision_;
 }
 
+auto document_watch::era() const -> store_era
+{
+    return era_.value_or(0);
+}
+
+auto document_watch::restorations() const -> std::uint64_t
+{
+    return restorations_;
+}
+
+auto document_watch::ignored_values() const -> std::uint64_t
+{
+    return ignored_values_;
+}
+
 } // namespace briardrum
--- a/modules/node/store/document_watch.hpp
+++ b/modules/node/store/document_watch.hpp
@@ -4,6 +4,7 @@
 #include "node/store/store.hpp"
 
 #include <memory>
+#include <optional>
 
 namespace briardrum
 {
@@ -46,6 +47,13 @@
     // True when the last call was answered.
     auto is_connected() const -> bool;
     auto revision() const -> store_revision;
+    // The era of the last answer.
+    auto era() const -> store_era;
+    // Number of times that the era has risen.
+    auto restorations() const -> std::uint64_t;
+    // Number of values that were read and not delivered, other than the one
+    // delivered last.
+    auto ignored_values() const -> std::uint64_t;
 
 private:
     enum class connection_state : std::uint8_t
@@ -61,7 +69,9 @@
     auto on_batch(const absl::StatusOr<store_watch_batch>& batch) -> void;
     auto deliver_if_newer(const std::string& value, store_revision mod_revision)
         -> void;
-    auto mark_connected() -> void;
+    auto report_ignored(store_revision mod_revision) -> void;
+    auto update_era(store_era era, store_revision revision) -> void;
+    auto mark_connected(store_revision revision) -> void;
     auto schedule_retry(const absl::Status& error) -> void;
 
     store& store_;
@@ -74,6 +84,10 @@
     millis backoff_;
     store_revision revision_ = 0;
     store_revision watch_start_revision_ = 0;
+    // Nothing until the first answer.
+    std::optional<store_era> era_;
+    std::uint64_t restorations_ = 0;
+    std::uint64_t ignored_values_ = 0;
     watch_id watch_ = 0;
     bool connected_ = false;
     bool loss_reported_ = false;
--- a/modules/node/store/member_directory.cpp
+++ b/modules/node/store/member_directory.cpp
@@ -111,10 +111,26 @@
                       if (!result.ok())
                       {
                           report_failure("write", result.status());
+                          return;
                       }
+                      report_published(*result);
                   });
 }
 
+auto member_directory::report_published(const store_commit_result& result) const
+    -> void
+{
+    if (hooks_.events)
+    {
+        hooks_.events(
+            event("member_directory_written")
+                .with("key", own_key())
+                .with("address", to_string(settings_.own_address))
+                .with("revision", static_cast<std::uint64_t>(result.revision))
+                .with("era", result.era));
+    }
+}
+
 auto member_directory::leave() -> void
 {
     if (!settings_.publishes)
--- a/modules/node/store/store.hpp
+++ b/modules/node/store/store.hpp
@@ -16,6 +16,11 @@
 // A counter that increases with every transaction that writes to the store.
 using store_revision = std::int64_t;
 
+// Number of the store's history. It rises each time the store comes back from
+// an older copy of its data; 0 if the store does not tell. Revisions and lease
+// ids of one history are given out again in the next.
+using store_era = std::uint64_t;
+
 using lease_id = std::int64_t;
 
 // A stored value. create_revision is the revision that created the key, and
@@ -48,6 +53,7 @@
     std::vector<store_value> values;
     // True when the range has values after the last one returned.
     bool more = false;
+    store_era era = 0;
 };
 
 // A condition on a revision of a key. A key that does not exist has revision 0.
@@ -86,6 +92,7 @@
 {
     bool succeeded = false;
     store_revision revision = 0;
+    store_era era = 0;
 };
 
 // A lease and its remaining time, counted from the answer; zero when the lease
@@ -94,6 +101,7 @@
 {
     lease_id id = 0;
     millis remaining;
+    store_era era = 0;
 };
 
 struct store_event
@@ -119,6 +127,7 @@
     store_revision revision = 0;
     std::vector<store_event> events;
     bool compacted = false;
+    store_era era = 0;
 };
 
 using watch_id = std::uint64_t;
--- a/modules/packets/balancer/packet_balancer.cpp
+++ b/modules/packets/balancer/packet_balancer.cpp
@@ -16,6 +16,7 @@
 {
     if (next == nullptr || next->version <= version())
     {
+        report_ignored(next.get());
         return false;
     }
     if (hooks_.events)
@@ -30,6 +31,18 @@
     return true;
 }
 
+// The version in force is read again after each loss of the store; only older
+// ones are told.
+auto packet_balancer::report_ignored(const route_table* next) const -> void
+{
+    if (hooks_.events && next != nullptr && next->version != version())
+    {
+        hooks_.events(event("configuration_ignored", event_level::warning)
+                          .with("version", next->version)
+                          .with("held", version()));
+    }
+}
+
 // Open flows stay with the service that they were opened at.
 auto packet_balancer::remember_former_targets(millis now,
                                               const route_table& next) -> void
--- a/modules/packets/balancer/packet_balancer.hpp
+++ b/modules/packets/balancer/packet_balancer.hpp
@@ -56,6 +56,7 @@
         millis until;
     };
 
+    auto report_ignored(const route_table* next) const -> void;
     auto remember_former_targets(millis now, const route_table& next) -> void;
     auto targets_of(const std::string& service_name) -> const service_targets&;
     auto place_flow(millis now, const flow_packet& packet, const route& matched,
