Failing tests of a store restored from an older copy, listed as known red

The stand-in store restores itself from a copy: revisions and lease ids go back and are given out again, its era rises. Watches in virtual_store poll where asked to, as the platform's do: an empty answer after a while, and 'compacted' beyond the newest revision.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -30,10 +30,17 @@
     rm -f "$log"
 }
 
+# The unit tests that are listed as "unit: NAME", one a line.
+known_red_units() {
+    awk -F ' [|] ' '$1 ~ /^unit: / { print substr($1, 7) }' KNOWN-RED.txt
+}
+
 count_unit_tests() {
-    local log line
+    local log line excluded
     log=$(mktemp)
-    "$build/tests/briardrum_tests" "$@" >"$log" 2>&1 || true
+    excluded=$(known_red_units | paste -sd ,)
+    "$build/tests/briardrum_tests" --test-case-exclude="$excluded" "$@" \
+        >"$log" 2>&1 || true
     cat "$log"
     line=$(grep -E '^\[doctest\] test cases:' "$log" || true)
     rm -f "$log"
@@ -47,6 +54,9 @@
 }
 
 count_unit_tests "$@"
+while read -r name; do
+    run_check "unit: $name" "$build/tests/briardrum_tests" --test-case="$name"
+done < <(known_red_units)
 for part in scripts/checks/*.sh; do
     [ -e "$part" ] && . "$part"
 done
--- a/stand_ins/store/memory_store.cpp
+++ b/stand_ins/store/memory_store.cpp
@@ -23,6 +23,7 @@
 {
     store_range_result out;
     out.revision = revision_;
+    out.era = era_;
     const auto most =
         request.limit == 0 ? entries_.size() : std::size_t(request.limit);
     for (auto it = entries_.lower_bound(request.key);
@@ -52,7 +53,7 @@
                     });
     if (!all || request.writes.empty())
     {
-        return {all, revision_};
+        return {all, revision_, era_};
     }
     ++revision_;
     for (const auto& write : request.writes)
@@ -69,14 +70,14 @@
         item.lease = write.lease;
         record({write.key, write.value, false, revision_});
     }
-    return {true, revision_};
+    return {true, revision_, era_};
 }
 
 auto memory_store::grant_lease(millis now, millis span) -> store_lease
 {
     const auto id = next_lease_++;
     leases_[id] = {now + span, span};
-    return {id, span};
+    return {id, span, era_};
 }
 
 auto memory_store::keep_alive(millis now, lease_id id) -> store_lease
@@ -85,10 +86,10 @@
     const auto it = leases_.find(id);
     if (it == leases_.end())
     {
-        return {id, {}};
+        return {id, {}, era_};
     }
     it->second.until = now + it->second.span;
-    return {id, it->second.span};
+    return {id, it->second.span, era_};
 }
 
 auto memory_store::expire(millis now) -> void
@@ -149,6 +150,18 @@
     return revision_;
 }
 
+auto memory_store::era() const -> store_era
+{
+    return era_;
+}
+
+auto memory_store::restore(const memory_store& copy) -> void
+{
+    const auto era = era_ + 1;
+    *this = copy;
+    era_ = era;
+}
+
 auto memory_store::compact() -> void
 {
     compacted_ = revision_;
--- a/stand_ins/store/memory_store.hpp
+++ b/stand_ins/store/memory_store.hpp
@@ -39,6 +39,13 @@
 
     auto revision() const -> store_revision;
 
+    // Rises by one with each restore().
+    auto era() const -> store_era;
+
+    // Comes back from an older copy of itself: revisions and lease ids go back
+    // and are given out again.
+    auto restore(const memory_store& copy) -> void;
+
     // Forgets the events up to the newest revision.
     auto compact() -> void;
 
@@ -64,6 +71,7 @@
     std::map<std::string, entry> entries_;
     std::map<lease_id, lease> leases_;
     std::deque<store_event> events_;
+    store_era era_ = 1;
     store_revision revision_ = 1;
     store_revision compacted_ = 0;
     lease_id next_lease_ = 1;
--- a/stand_ins/store/virtual_store.hpp
+++ b/stand_ins/store/virtual_store.hpp
@@ -28,6 +28,10 @@
     millis delay = milliseconds(2);
     millis timeout = seconds(3);
     millis event_delay;
+    // Watches poll: each is answered after this time even without events, and
+    // one beyond the store's newest revision is answered as compacted. 0 for
+    // watches that stream events and wait for revisions still to come.
+    millis poll_interval;
     std::uint64_t calls = 0;
     std::uint64_t ranges = 0;
 
@@ -51,6 +55,7 @@
     {
         store_watch request;
         store_callback<store_watch_batch> next;
+        millis answered_at;
     };
 
     // Carries out a call now and answers later, as the faults have it.
@@ -59,6 +64,7 @@
               store_callback<Result> done) -> void;
     auto later(millis after, std::function<void()> task) -> void;
     auto tell_events() -> void;
+    auto collect_events(const open_watch& item) const -> store_watch_batch;
 
     memory_store& data_;
     millis now_;
--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -31,6 +31,11 @@
                          1};
     millis now = seconds(1);
 
+    document_watch_fixture()
+    {
+        client.poll_interval = seconds(2);
+    }
+
     auto put(const std::string& value) -> void
     {
         store_transaction request;
@@ -102,6 +107,54 @@
     CHECK(it.received == std::vector<std::string>{"one", "two"});
 }
 
+// Guards against: after a restore, configurations that the operators had
+// confirmed never came into force, since their revisions had been given out
+// before.
+TEST_CASE("a store restored from an older copy: changes at revisions that were "
+          "given out before are delivered")
+{
+    document_watch_fixture it;
+    it.put("one");
+    const auto copy = it.data;
+    it.put("two");
+    it.put("three");
+    it.run(seconds(1));
+    REQUIRE(it.received == std::vector<std::string>{"three"});
+    const auto held_revision = it.watch.revision();
+    it.client.down = true;
+    it.run(seconds(2));
+    it.data.restore(copy);
+    it.put("three");
+    it.client.down = false;
+    it.run(seconds(3));
+    it.put("four");
+    REQUIRE(it.data.revision() == held_revision);
+    it.run(seconds(1));
+    CHECK(it.received.back() == "four");
+}
+
+// Guards against: a watch that outlived a restore goes on at a revision that
+// the store passed unseen, and misses the change that was written before it.
+TEST_CASE("a store restored from an older copy: changes below the watched "
+          "revision are delivered")
+{
+    document_watch_fixture it;
+    it.put("one");
+    const auto copy = it.data;
+    it.put("two");
+    it.run(seconds(1));
+    const auto held_revision = it.watch.revision();
+    it.data.restore(copy);
+    it.put("three");
+    for (int n = 0; n < 3; ++n)
+    {
+        it.data.commit({{}, {{"other", "value", false, 0}}});
+    }
+    REQUIRE(it.data.revision() > held_revision);
+    it.run(seconds(3));
+    CHECK(it.received == std::vector<std::string>{"two", "three"});
+}
+
 TEST_CASE("an isolated member finds a published address")
 {
     stand_in::memory_store data;
