Configurations are in force after the store was restored: positions name their era

What callers saw: after the store came back from an older copy, routes that a confirmed change had removed were served and added ones refused, until the next start of the balancer.

Cause: document_watch took a value as new when its revision was above the last one's. Revisions go back with a restore and are given out again, so version 15 at revision 10 of era 2 counted as version 12 at revision 10 of era 1. Class: an order that holds within one history of a system is used across two (an identity without its epoch).

Ruled out: that the watch began too late (it began at revision 10 and the value came), and that an older version was adopted (the operators had written version 12 again).

Fix: a store_position is an era and a revision; a value of another era is always delivered, and whether it is newer is for its own version to say, which the balancer checks already. An answer of another era ends the watch and the key is read again, as events before the watched revision may be missing. Such reads are spaced, in case answers come from either history by turns (test).

--- a/modules/io/daemons/packet_balancer_daemon.cpp
+++ b/modules/io/daemons/packet_balancer_daemon.cpp
@@ -118,7 +118,7 @@
     out.gauge("store_answers", configuration_.is_connected() ? 1 : 0);
     out.gauge("store_era", configuration_.era());
     out.gauge("store_revision",
-              static_cast<std::uint64_t>(configuration_.revision()));
+              static_cast<std::uint64_t>(configuration_.position().revision));
     out.counter("store_restorations_total", configuration_.restorations());
     out.counter("store_values_ignored_total", configuration_.ignored_values());
 }
--- a/modules/node/store/document_watch.cpp
+++ b/modules/node/store/document_watch.cpp
@@ -48,6 +48,7 @@
 auto document_watch::read() -> void
 {
     state_ = connection_state::reading;
+    next_immediate_read_ = now_ + settings_.retry_interval;
     store_range request;
     request.key = settings_.key;
     store_.range(
@@ -73,7 +74,7 @@
     mark_connected(result->revision);
     for (const auto& it : result->values)
     {
-        deliver_if_newer(it.value, it.mod_revision);
+        deliver_if_news(it.value, it.mod_revision);
     }
     watch_start_revision_ = result->revision + 1;
     watch();
@@ -104,8 +105,15 @@
         schedule_retry(batch.status());
         return;
     }
+    const auto is_other_history = batch->era != era();
     update_era(batch->era, batch->revision);
     mark_connected(batch->revision);
+    if (is_other_history)
+    {
+        // Events before the watched revision may be missing.
+        read_again();
+        return;
+    }
     if (batch->compacted)
     {
         if (hooks_.events)
@@ -116,28 +124,40 @@
                                                         watch_start_revision_))
                               .with("era", era()));
         }
-        store_.cancel_watch(watch_);
-        read();
+        read_again();
         return;
     }
     for (const auto& it : batch->events)
     {
         if (!it.removed && it.key == settings_.key)
         {
-            deliver_if_newer(it.value, it.mod_revision);
+            deliver_if_news(it.value, it.mod_revision);
         }
     }
 }
 
-auto document_watch::deliver_if_newer(const std::string& value,
-                                      store_revision mod_revision) -> void
+auto document_watch::read_again() -> void
+{
+    store_.cancel_watch(watch_);
+    if (now_ < next_immediate_read_)
+    {
+        state_ = connection_state::waiting;
+        next_read_ = next_immediate_read_;
+        return;
+    }
+    read();
+}
+
+auto document_watch::deliver_if_news(const std::string& value,
+                                     store_revision mod_revision) -> void
 {
-    if (mod_revision <= revision_)
+    const store_position found{era(), mod_revision};
+    if (!found.may_be_news_after(position_))
     {
         report_ignored(mod_revision);
         return;
     }
-    revision_ = mod_revision;
+    position_ = found;
     hooks_.on_value(value, mod_revision);
 }
 
@@ -145,7 +165,7 @@
 // others are told.
 auto document_watch::report_ignored(store_revision mod_revision) -> void
 {
-    if (mod_revision == revision_)
+    if (mod_revision == position_.revision)
     {
         return;
     }
@@ -156,7 +176,8 @@
             event("store_value_ignored", event_level::warning)
                 .with("key", settings_.key)
                 .with("revision", static_cast<std::uint64_t>(mod_revision))
-                .with("held_revision", static_cast<std::uint64_t>(revision_))
+                .with("held_revision",
+                      static_cast<std::uint64_t>(position_.revision))
                 .with("era", era()));
     }
 }
@@ -177,7 +198,8 @@
                 .with("era", era)
                 .with("was", *before)
                 .with("revision", static_cast<std::uint64_t>(revision))
-                .with("held_revision", static_cast<std::uint64_t>(revision_)));
+                .with("held_revision",
+                      static_cast<std::uint64_t>(position_.revision)));
     }
 }
 
@@ -218,9 +240,9 @@
     return connected_;
 }
 
-auto document_watch::revision() const -> store_revision
+auto document_watch::position() const -> const store_position&
 {
-    return revision_;
+    return position_;
 }
 
 auto document_watch::era() const -> store_era
--- a/modules/node/store/document_watch.hpp
+++ b/modules/node/store/document_watch.hpp
@@ -21,14 +21,15 @@
 
 struct document_watch_hooks
 {
-    // Called with each new value; the revision increases with every call.
+    // Called with each new value. After a restore of the store the value may
+    // be one that was delivered before, or older.
     std::function<void(const std::string& value, store_revision)> on_value;
     event_sink events;
 };
 
 // Follows one key of the store: reads it, watches it from that revision, and
-// reads it again whenever the watch ends. The last value stays valid while the
-// store is unreachable.
+// reads it again whenever the watch ends or the store was restored from an
+// older copy. The last value stays valid while the store is unreachable.
 //
 // Call tick() about every 100 ms. Call refresh() to read immediately, for
 // example when another process is known to have a newer value.
@@ -46,10 +47,11 @@
 
     // True when the last call was answered.
     auto is_connected() const -> bool;
-    auto revision() const -> store_revision;
+    // The position of the value delivered last.
+    auto position() const -> const store_position&;
     // The era of the last answer.
     auto era() const -> store_era;
-    // Number of times that the era has risen.
+    // Number of times that the era has changed.
     auto restorations() const -> std::uint64_t;
     // Number of values that were read and not delivered, other than the one
     // delivered last.
@@ -67,10 +69,11 @@
     auto on_range(const absl::StatusOr<store_range_result>& result) -> void;
     auto watch() -> void;
     auto on_batch(const absl::StatusOr<store_watch_batch>& batch) -> void;
-    auto deliver_if_newer(const std::string& value, store_revision mod_revision)
+    auto deliver_if_news(const std::string& value, store_revision mod_revision)
         -> void;
     auto report_ignored(store_revision mod_revision) -> void;
     auto update_era(store_era era, store_revision revision) -> void;
+    auto read_again() -> void;
     auto mark_connected(store_revision revision) -> void;
     auto schedule_retry(const absl::Status& error) -> void;
 
@@ -82,8 +85,10 @@
     millis now_;
     millis next_read_;
     millis backoff_;
-    store_revision revision_ = 0;
+    store_position position_;
     store_revision watch_start_revision_ = 0;
+    // Bounds how often lost history is answered by a read at once.
+    millis next_immediate_read_;
     // Nothing until the first answer.
     std::optional<store_era> era_;
     std::uint64_t restorations_ = 0;
--- a/modules/node/store/store.hpp
+++ b/modules/node/store/store.hpp
@@ -16,11 +16,27 @@
 // A counter that increases with every transaction that writes to the store.
 using store_revision = std::int64_t;
 
-// Number of the store's history. It rises each time the store comes back from
-// an older copy of its data; 0 if the store does not tell. Revisions and lease
-// ids of one history are given out again in the next.
+// Identifies a history of the store; 0 if the store does not tell. A store that
+// comes back from an older copy of its data begins another history, in which
+// revisions and lease ids are given out again.
 using store_era = std::uint64_t;
 
+// A point in one history. Positions are ordered within an era only.
+struct store_position
+{
+    store_era era = 0;
+    store_revision revision = 0;
+
+    auto operator==(const store_position&) const -> bool = default;
+
+    // True when this is a later point of the same history, or a point of
+    // another one, about which nothing is known.
+    auto may_be_news_after(const store_position& other) const -> bool
+    {
+        return era != other.era || revision > other.revision;
+    }
+};
+
 using lease_id = std::int64_t;
 
 // A stored value. create_revision is the revision that created the key, and
--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -120,7 +120,7 @@
     it.put("three");
     it.run(seconds(1));
     REQUIRE(it.received == std::vector<std::string>{"three"});
-    const auto held_revision = it.watch.revision();
+    const auto held_revision = it.watch.position().revision;
     it.client.down = true;
     it.run(seconds(2));
     it.data.restore(copy);
@@ -143,7 +143,7 @@
     const auto copy = it.data;
     it.put("two");
     it.run(seconds(1));
-    const auto held_revision = it.watch.revision();
+    const auto held_revision = it.watch.position().revision;
     it.data.restore(copy);
     it.put("three");
     for (int n = 0; n < 3; ++n)
@@ -155,6 +155,32 @@
     CHECK(it.received == std::vector<std::string>{"two", "three"});
 }
 
+// Guards against: a store that answers from either history by turns makes every
+// process read without a pause.
+TEST_CASE("a store restored from an older copy: reads are spaced while its "
+          "answers alternate between histories")
+{
+    document_watch_fixture it;
+    it.client.poll_interval = tick_interval;
+    it.put("one");
+    it.run(seconds(1));
+    const auto copy = it.data;
+    const auto reads_before = it.client.ranges;
+    constexpr std::uint64_t rounds = 100;
+    for (std::uint64_t n = 0; n < rounds; ++n)
+    {
+        it.data.restore(copy);
+        it.run(tick_interval);
+    }
+    const auto span = tick_interval * static_cast<std::int64_t>(rounds);
+    const auto reads_max = static_cast<std::uint64_t>(
+        span.count / document_watch_settings{}.retry_interval.count + 1);
+    CHECK(it.client.ranges - reads_before <= reads_max);
+    it.put("two");
+    it.run(seconds(1));
+    CHECK(it.received.back() == "two");
+}
+
 TEST_CASE("an isolated member finds a published address")
 {
     stand_in::memory_store data;
