Members publish their address again after the store was restored

What callers would see: nothing at first. A balancer's entry in the members' directory that was written since the copy is gone, and nothing wrote it again: each balancer counts its entry as published until it ends. A VM that starts alone then, while the seeds of its settings are gone or cut off, finds nobody and drops its packets.

Fix: when an answer shows another era the entry is written again; a read does not prove it, as it may be seconds old, and neither does a write that began before. Test: fails without the call, and its second part without the check of reads (tried).

--- a/modules/io/daemons/packet_balancer_daemon.cpp
+++ b/modules/io/daemons/packet_balancer_daemon.cpp
@@ -17,7 +17,11 @@
                       {
                           on_configuration(text, at);
                       },
-                      process_.events()},
+                      process_.events(),
+                      [this]
+                      {
+                          process_.on_store_restored();
+                      }},
                      member_id_of(settings.name))
 {
 }
--- a/modules/io/daemons/packet_process.cpp
+++ b/modules/io/daemons/packet_process.cpp
@@ -195,6 +195,14 @@
                                loop_.log().sink()});
 }
 
+auto packet_process::on_store_restored() -> void
+{
+    if (directory_ != nullptr)
+    {
+        directory_->on_store_restored();
+    }
+}
+
 auto packet_process::tick(millis now) -> void
 {
     if (now >= next_member_tick_)
--- a/modules/io/daemons/packet_process.hpp
+++ b/modules/io/daemons/packet_process.hpp
@@ -65,6 +65,9 @@
     // Looks for members in the store too, and, as a balancer, stands there.
     auto use_directory(store& in) -> void;
 
+    // The store has come back from an older copy of its data.
+    auto on_store_restored() -> void;
+
     // Reads one datagram and hands it on; a malformed one is counted and
     // logged.
     auto read_packets(
--- a/modules/node/store/document_watch.cpp
+++ b/modules/node/store/document_watch.cpp
@@ -201,6 +201,10 @@
                 .with("held_revision",
                       static_cast<std::uint64_t>(position_.revision)));
     }
+    if (hooks_.on_restored)
+    {
+        hooks_.on_restored();
+    }
 }
 
 auto document_watch::mark_connected(store_revision revision) -> void
--- a/modules/node/store/document_watch.hpp
+++ b/modules/node/store/document_watch.hpp
@@ -25,6 +25,9 @@
     // be one that was delivered before, or older.
     std::function<void(const std::string& value, store_revision)> on_value;
     event_sink events;
+    // Called when the store has come back from an older copy of its data: what
+    // this process wrote may be gone. May be empty.
+    std::function<void()> on_restored = nullptr;
 };
 
 // Follows one key of the store: reads it, watches it from that revision, and
--- a/modules/node/store/member_directory.cpp
+++ b/modules/node/store/member_directory.cpp
@@ -39,6 +39,12 @@
     }
 }
 
+auto member_directory::on_store_restored() -> void
+{
+    must_publish_ = true;
+    published_ = false;
+}
+
 auto member_directory::read() -> void
 {
     reading_ = true;
@@ -78,7 +84,7 @@
         }
         if (it.key == own_key())
         {
-            published_ = *address == settings_.own_address;
+            published_ = !must_publish_ && *address == settings_.own_address;
             continue;
         }
         addresses.push_back(*address);
@@ -95,6 +101,7 @@
 auto member_directory::publish() -> void
 {
     writing_ = true;
+    must_publish_ = false;
     store_transaction request;
     request.writes.push_back(
         {own_key(), to_string(settings_.own_address), false, 0});
@@ -107,7 +114,8 @@
                           return;
                       }
                       writing_ = false;
-                      published_ = result.ok();
+                      // The store may have been restored meanwhile.
+                      published_ = result.ok() && !must_publish_;
                       if (!result.ok())
                       {
                           report_failure("write", result.status());
--- a/modules/node/store/member_directory.hpp
+++ b/modules/node/store/member_directory.hpp
@@ -51,6 +51,10 @@
     // is_isolated is true while no other member is known.
     auto tick(millis now, bool is_isolated) -> void;
 
+    // Publishes the own address again after the store has come back from an
+    // older copy of its data.
+    auto on_store_restored() -> void;
+
     auto leave() -> void;
 
 private:
@@ -70,6 +74,9 @@
     bool writing_ = false;
     bool has_read_ = false;
     bool published_ = false;
+    // Set by a restore: only a write that began after it shows that the own
+    // address is in the store, for reads may be seconds old.
+    bool must_publish_ = false;
     // False once this object is destroyed; checked by pending callbacks.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -215,3 +215,51 @@
     }
     CHECK(first_client.calls + second_client.calls == calls);
 }
+
+// Guards against: after a restore, members that start alone find no address of
+// a balancer, since each considers its own as published.
+TEST_CASE("a store restored from an older copy: an address is published again")
+{
+    stand_in::memory_store data;
+    const auto empty_copy = data;
+    virtual_store client(data);
+    const endpoint address{0x0a000001, 7000};
+    member_directory directory(client, {"m/", "first", address, true},
+                               {[](std::span<const endpoint>) {}, {}});
+    auto now = seconds(1);
+    auto is_isolated = false;
+    const auto run = [&](millis span)
+    {
+        for (const auto end = now + span; now < end; now += tick_interval)
+        {
+            directory.tick(now, is_isolated);
+            client.run(now);
+        }
+    };
+    const auto is_published = [&]
+    {
+        return !data.range({"m/first", "", 0, 0}).values.empty();
+    };
+    run(seconds(1));
+    REQUIRE(is_published());
+
+    SUBCASE("the entry is gone")
+    {
+        data.restore(empty_copy);
+        directory.on_store_restored();
+        run(seconds(3));
+        CHECK(is_published());
+    }
+    SUBCASE("a read that may be from before the restore does not count")
+    {
+        const auto revision = data.revision();
+        is_isolated = true;
+        directory.on_store_restored();
+        run(seconds(3));
+        CHECK(data.revision() > revision);
+        is_isolated = false;
+    }
+    const auto calls = client.calls;
+    run(seconds(10));
+    CHECK(client.calls == calls);
+}
