--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -50,6 +50,34 @@
     }
 }
 
+TEST_CASE("headers of HTTP responses are read, however their bytes come")
+{
+    const std::string text = "HTTP/1.1 200 OK\r\nStore-Era: 12\r\n"
+                             "Content-Length: 2\r\nEmpty:\r\n\r\n{}"
+                             "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n";
+    for (const std::size_t piece :
+         {std::size_t{1}, std::size_t{7}, text.size()})
+    {
+        std::vector<http_reader::message> messages;
+        http_reader reader(http_reader::side::responses, 100,
+                           [&](http_reader::message&& message)
+                           {
+                               messages.push_back(std::move(message));
+                           });
+        for (std::size_t at = 0; at < text.size(); at += piece)
+        {
+            REQUIRE(reader.feed(
+                as_bytes(std::string_view(text).substr(at, piece))));
+        }
+        REQUIRE(messages.size() == 2);
+        REQUIRE(find_header(messages[0].headers, "store-era") != nullptr);
+        CHECK(*find_header(messages[0].headers, "store-era") == "12");
+        CHECK(*find_header(messages[0].headers, "Empty") == "");
+        CHECK(find_header(messages[1].headers, "Store-Era") == nullptr);
+        CHECK(messages[0].body == "{}");
+    }
+}
+
 TEST_CASE("bytes that are no HTTP, and bodies over the bound, end the reading")
 {
     const auto feed = [](const std::string& text)
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -1,4 +1,5 @@
 #include "platform/platform.hpp"
+#include "platform/store_responses.hpp"
 
 #include <doctest/doctest.h>
 
@@ -291,3 +292,72 @@
         {"POST", "/v1/instances/a/b/heartbeat", heartbeat_body});
     CHECK(error_kind_of(nested.status()) == error_kind::not_found);
 }
+
+// Guards against: a store that came back from an older copy is not told from
+// one that goes on.
+TEST_CASE("a store restored from an older copy shows in the era of each answer")
+{
+    const auto response = [](int status, const std::string& body)
+    {
+        return http_response{
+            status, "application/json", body, {{"store-era", "7"}}};
+    };
+    const auto key = platform::parse_key_response(
+        response(200, R"({"key":"a","value":"","revision":3,"currentRev":9})"));
+    REQUIRE(key.ok());
+    CHECK(key->era == 7);
+    CHECK(key->revision == 9);
+    const auto missing =
+        platform::parse_key_response(response(404, R"({"currentRev":9})"));
+    REQUIRE(missing.ok());
+    CHECK(missing->era == 7);
+    CHECK(missing->revision == 9);
+    const auto range = platform::parse_range_response(
+        response(200, R"({"items":[],"currentRev":9})"));
+    REQUIRE(range.ok());
+    CHECK(range->era == 7);
+    const auto batch = platform::parse_watch_response(
+        response(200, R"({"events":[],"currentRev":9})"));
+    REQUIRE(batch.ok());
+    CHECK(batch->era == 7);
+    CHECK_FALSE(batch->compacted);
+    const auto gone = platform::parse_watch_response(response(410, ""));
+    REQUIRE(gone.ok());
+    CHECK(gone->era == 7);
+    CHECK(gone->compacted);
+    const auto conflict =
+        platform::parse_commit_response(response(412, R"({"items":[]})"));
+    REQUIRE(conflict.ok());
+    CHECK(conflict->era == 7);
+    CHECK_FALSE(conflict->succeeded);
+    const auto lease = platform::parse_lease_response(
+        response(200, R"({"lease":4,"ttlMs":1000})"));
+    REQUIRE(lease.ok());
+    CHECK(lease->era == 7);
+}
+
+TEST_CASE(
+    "an answer without an era has era 0, one that is no number is refused")
+{
+    http_response response{200, "", R"({"items":[],"currentRev":9})", {}};
+    CHECK(platform::parse_range_response(response)->era == 0);
+    response.headers = {{"Store-Era", "next"}};
+    CHECK(error_kind_of(platform::parse_range_response(response).status()) ==
+          error_kind::malformed);
+}
+
+// Guards against: entries of two histories are taken for one state.
+TEST_CASE(
+    "a store restored from an older copy between two pages fails the read")
+{
+    const store_range_result first{9, {{"a", "1", 1, 1}}, true, 1};
+    auto pages = store_range_result{};
+    REQUIRE(platform::append_page(pages, first).ok());
+    REQUIRE(
+        platform::append_page(pages, {12, {{"b", "2", 2, 2}}, true, 1}).ok());
+    CHECK(pages.revision == 9);
+    CHECK(pages.values.size() == 2);
+    CHECK(error_kind_of(platform::append_page(
+              pages, {9, {{"c", "3", 3, 3}}, false, 2})) ==
+          error_kind::unavailable);
+}
