--- a/modules/io/store/etcd_json.cpp
+++ b/modules/io/store/etcd_json.cpp
@@ -40,6 +40,19 @@
     return it == object.end() ? 0 : number(*it, "revision");
 }
 
+// A cluster that is restored from a snapshot gets another id.
+auto era_of(const json& object) -> store_era
+{
+    const auto it = object.find("header");
+    if (it == object.end() || !it->contains("cluster_id"))
+    {
+        return 0;
+    }
+    const auto& id = it->at("cluster_id");
+    return id.is_string() ? std::stoull(id.get<std::string>())
+                          : id.get<store_era>();
+}
+
 auto write_compare(const store_compare& compare) -> json
 {
     const auto is_create =
@@ -162,6 +175,7 @@
             store_range_result out;
             out.revision = revision_of(object);
             out.more = object.value("more", false);
+            out.era = era_of(object);
             for (const auto& item : object.value("kvs", json::array()))
             {
                 out.values.push_back(read_value(item));
@@ -173,13 +187,13 @@
 auto read_commit_result(std::string_view text)
     -> absl::StatusOr<store_commit_result>
 {
-    return read<store_commit_result>(text,
-                                     [](const json& object)
-                                     {
-                                         return store_commit_result{
-                                             object.value("succeeded", false),
-                                             revision_of(object)};
-                                     });
+    return read<store_commit_result>(
+        text,
+        [](const json& object)
+        {
+            return store_commit_result{object.value("succeeded", false),
+                                       revision_of(object), era_of(object)};
+        });
 }
 
 auto read_lease(std::string_view text) -> absl::StatusOr<store_lease>
@@ -190,8 +204,8 @@
         {
             const auto& body =
                 object.contains("result") ? object.at("result") : object;
-            return store_lease{number(body, "ID"),
-                               seconds(number(body, "TTL"))};
+            return store_lease{number(body, "ID"), seconds(number(body, "TTL")),
+                               era_of(body)};
         });
 }
 
@@ -205,6 +219,7 @@
             store_watch_batch out;
             const auto& result = object.at("result");
             out.revision = revision_of(result);
+            out.era = era_of(result);
             out.compacted = number(result, "compact_revision") != 0;
             for (const auto& item : result.value("events", json::array()))
             {
--- a/modules/node/store/configuration_load.cpp
+++ b/modules/node/store/configuration_load.cpp
@@ -41,7 +41,6 @@
 auto append_page(load_state& state, const store_range_result& page) -> void
 {
     const auto prefix = state.layout.configuration_prefix();
-    state.out.revision = page.revision;
     for (const auto& item : page.values)
     {
         const auto key = item.key.substr(prefix.size());
@@ -58,7 +57,7 @@
 {
     const auto prefix = state->layout.configuration_prefix();
     const store_range request{from, prefix_end(prefix), values_per_page,
-                              state->out.revision};
+                              state->out.position.revision};
     state->source->range(
         request,
         [state](const absl::StatusOr<store_range_result>& page)
@@ -68,10 +67,18 @@
                 state->done(page.status());
                 return;
             }
-            const auto pinned_revision = state->out.revision;
+            auto& pinned = state->out.position;
+            if (pinned.revision != 0 && page->era != pinned.era)
+            {
+                state->done(make_error(error_kind::unavailable,
+                                       "the store was restored meanwhile"));
+                return;
+            }
+            if (pinned.revision == 0)
+            {
+                pinned = {page->era, page->revision};
+            }
             append_page(*state, *page);
-            state->out.revision =
-                pinned_revision == 0 ? page->revision : pinned_revision;
             if (page->more && !page->values.empty())
             {
                 read_page(state, page->values.back().key + '\0');
--- a/modules/node/store/configuration_load.hpp
+++ b/modules/node/store/configuration_load.hpp
@@ -15,13 +15,14 @@
 struct loaded_configuration
 {
     std::shared_ptr<const configuration> value;
-    store_revision revision = 0;
+    store_position position;
     // mod_revision of the root value, for use in a compare; 0 when it does not
     // exist.
     store_revision root_revision = 0;
 };
 
-// Reads the whole configuration page by page, all pages at the same revision.
+// Reads the whole configuration page by page, all pages at the same revision;
+// error_kind::unavailable when the store is restored between two pages.
 // done is called once; the store must outlive the load.
 auto load_configuration(store& source, const store_layout& layout,
                         store_callback<loaded_configuration> done) -> void;
--- a/modules/node/store/store_watcher.cpp
+++ b/modules/node/store/store_watcher.cpp
@@ -100,7 +100,27 @@
 auto store_watcher::discard_base() -> void
 {
     base_ = nullptr;
-    revision_ = 0;
+    position_ = {};
+}
+
+// Records the era of an answer. Returns false, after discarding what was known,
+// when the store was restored since the answer before it.
+auto store_watcher::update_era(store_era era, store_revision revision) -> bool
+{
+    const auto before = std::exchange(era_, era);
+    if (!before.has_value() || *before == era)
+    {
+        return true;
+    }
+    emit(event("store_restored", event_level::warning)
+             .with("era", era)
+             .with("was", *before)
+             .with("revision", static_cast<std::uint64_t>(revision))
+             .with("held_revision",
+                   static_cast<std::uint64_t>(position_.revision)));
+    discard_base();
+    must_load_ = true;
+    return false;
 }
 
 // Restarts after a delay that doubles up to retry_max.
@@ -128,7 +148,8 @@
 auto store_watcher::on_root(const store_range_result& result) -> void
 {
     retry_delay_ = settings_.retry_min;
-    if (base_ != nullptr && result.revision >= revision_)
+    update_era(result.era, result.revision);
+    if (base_ != nullptr && result.revision >= position_.revision)
     {
         // The new watch delivers the missed changes.
         open_watch();
@@ -145,14 +166,14 @@
                  .with("held", current_configuration->version));
     }
     if (stored_version != 0 &&
-        (current_configuration == nullptr ||
+        (must_load_ || current_configuration == nullptr ||
          current_configuration->version != stored_version))
     {
         load();
         return;
     }
     base_ = stored_version == 0 ? nullptr : current_configuration;
-    revision_ = result.revision;
+    position_ = {result.era, result.revision};
     open_watch();
 }
 
@@ -168,8 +189,10 @@
 
 auto store_watcher::on_loaded(const loaded_configuration& loaded) -> void
 {
+    update_era(loaded.position.era, loaded.position.revision);
+    must_load_ = false;
     base_ = loaded.value;
-    revision_ = loaded.revision;
+    position_ = loaded.position;
     open_watch();
     if (base_ != nullptr)
     {
@@ -181,7 +204,7 @@
 {
     phase_ = phase::watching;
     const auto prefix = layout_.configuration_prefix();
-    watch_ = store_.watch({prefix, prefix_end(prefix), revision_ + 1},
+    watch_ = store_.watch({prefix, prefix_end(prefix), position_.revision + 1},
                           wrap_callback<store_watch_batch>(
                               [this](const store_watch_batch& batch)
                               {
@@ -191,7 +214,7 @@
 
 auto store_watcher::on_batch(const store_watch_batch& batch) -> void
 {
-    if (batch.compacted)
+    if (!update_era(batch.era, batch.revision) || batch.compacted)
     {
         discard_base();
         retry_later();
@@ -199,11 +222,11 @@
     }
     const auto prefix = layout_.configuration_prefix();
     std::vector<configuration_change> changes;
-    auto last_revision = revision_;
+    auto last_revision = position_.revision;
     for (const auto& item : batch.events)
     {
         // The store may repeat events.
-        if (item.mod_revision <= revision_)
+        if (item.mod_revision <= position_.revision)
         {
             continue;
         }
@@ -211,7 +234,7 @@
             {item.key.substr(prefix.size()), item.value, item.removed});
         last_revision = std::max(last_revision, item.mod_revision);
     }
-    revision_ = last_revision;
+    position_.revision = last_revision;
     if (!changes.empty())
     {
         apply(changes);
@@ -243,29 +266,39 @@
                  wrap_callback<store_range_result>(
                      [this](const store_range_result& result)
                      {
-                         if (result.values.empty() ||
-                             result.values[0].mod_revision <= revision_)
-                         {
-                             return;
-                         }
-                         polled_revision_ = result.values[0].mod_revision;
-                         polled_at_ = now_;
+                         on_polled(result);
                      }));
 }
 
+auto store_watcher::on_polled(const store_range_result& result) -> void
+{
+    if (!update_era(result.era, result.revision))
+    {
+        retry_later();
+        return;
+    }
+    if (result.values.empty() ||
+        result.values[0].mod_revision <= position_.revision)
+    {
+        return;
+    }
+    polled_revision_ = result.values[0].mod_revision;
+    polled_at_ = now_;
+}
+
 // Reopens the watch when it has not delivered a root revision that polling has
 // seen, and reads the whole configuration when the new watch does not deliver
 // it either.
 auto store_watcher::check_watch_lag() -> void
 {
-    if (polled_revision_ <= revision_ ||
+    if (polled_revision_ <= position_.revision ||
         now_ < polled_at_ + settings_.watch_lag_max)
     {
         return;
     }
     ++silent_watches_;
     emit(event("store_watch_silent", event_level::warning)
-             .with("told", static_cast<std::uint64_t>(revision_))
+             .with("told", static_cast<std::uint64_t>(position_.revision))
              .with("shown", static_cast<std::uint64_t>(polled_revision_)));
     const auto polled_revision = polled_revision_;
     stop();
--- a/modules/node/store/store_watcher.hpp
+++ b/modules/node/store/store_watcher.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace briardrum
 {
@@ -40,8 +41,9 @@
 // another version than the process has, and watches from that revision. A watch
 // that ends, or that delivers nothing although the root value has changed, is
 // reopened where it stopped, so that missed changes arrive as events; if the
-// new watch delivers nothing either, the whole configuration is loaded. During
-// an outage it only retries, at bounded intervals.
+// new watch delivers nothing either, or the store was restored from an older
+// copy, the whole configuration is loaded. During an outage it only retries, at
+// bounded intervals.
 class store_watcher
 {
 public:
@@ -73,6 +75,7 @@
     auto start(millis now) -> void;
     auto stop() -> void;
     auto discard_base() -> void;
+    auto update_era(store_era era, store_revision revision) -> bool;
     auto retry_later() -> void;
     auto read_root() -> void;
     auto on_root(const store_range_result& result) -> void;
@@ -82,6 +85,7 @@
     auto on_batch(const store_watch_batch& batch) -> void;
     auto apply(const std::vector<configuration_change>& changes) -> void;
     auto poll() -> void;
+    auto on_polled(const store_range_result& result) -> void;
     auto check_watch_lag() -> void;
     auto on_configuration(std::shared_ptr<const configuration> value) -> void;
     auto update_store_answers(bool answered) -> void;
@@ -106,9 +110,14 @@
     millis next_poll_;
     bool store_answers_ = true;
     watch_id watch_ = 0;
-    // The configuration at revision_, as read and updated from the watch.
+    // The configuration at position_, as read and updated from the watch.
     std::shared_ptr<const configuration> base_;
-    store_revision revision_ = 0;
+    store_position position_;
+    // The era of the last answer; nothing until the first.
+    std::optional<store_era> era_;
+    // Set by a restore: the stored configuration may differ from the held one
+    // even where their versions are the same.
+    bool must_load_ = false;
     // The newest root revision seen by polling and the time it was seen; 0
     // after a stop.
     store_revision polled_revision_ = 0;
--- a/stand_ins/store/gateway_json.cpp
+++ b/stand_ins/store/gateway_json.cpp
@@ -31,9 +31,10 @@
     return std::stoll(in.value(name, std::string("0")));
 }
 
-auto header(store_revision revision) -> json
+auto header(store_revision revision, store_era era) -> json
 {
-    return {{"revision", std::to_string(revision)}};
+    return {{"cluster_id", std::to_string(era)},
+            {"revision", std::to_string(revision)}};
 }
 
 auto read_compare(const json& in) -> store_compare
@@ -116,7 +117,7 @@
 
 auto write_answer(const store_range_result& out) -> json
 {
-    json answer = {{"header", header(out.revision)},
+    json answer = {{"header", header(out.revision, out.era)},
                    {"count", std::to_string(out.values.size())}};
     for (const auto& item : out.values)
     {
@@ -135,7 +136,7 @@
 
 auto write_answer(const store_commit_result& out) -> json
 {
-    json answer = {{"header", header(out.revision)}};
+    json answer = {{"header", header(out.revision, out.era)}};
     if (out.succeeded)
     {
         answer["succeeded"] = true;
@@ -145,13 +146,14 @@
 
 auto write_answer(const store_lease& out) -> json
 {
-    return {{"ID", std::to_string(out.id)},
+    return {{"header", {{"cluster_id", std::to_string(out.era)}}},
+            {"ID", std::to_string(out.id)},
             {"TTL", std::to_string(out.remaining.count / 1000)}};
 }
 
 auto write_answer(const store_watch_batch& out) -> json
 {
-    json result = {{"header", header(out.revision)}};
+    json result = {{"header", header(out.revision, out.era)}};
     if (out.compacted)
     {
         result["canceled"] = true;
--- a/stand_ins/store/store_gateway.cpp
+++ b/stand_ins/store/store_gateway.cpp
@@ -194,11 +194,23 @@
             json_type,
             [this, request, next](std::size_t offset, httplib::DataSink& sink)
             {
-                return offset == 0 ? write_line(sink, {})
+                return offset == 0 ? write_first_line(sink)
                                    : tell_events(request, *next, sink);
             });
     }
 
+    // Tells that the watch is open.
+    auto write_first_line(httplib::DataSink& sink) -> bool
+    {
+        store_watch_batch batch;
+        {
+            const std::lock_guard lock(mutex);
+            batch.revision = data.revision();
+            batch.era = data.era();
+        }
+        return write_line(sink, batch);
+    }
+
     static auto write_line(httplib::DataSink& sink,
                            const store_watch_batch& batch) -> bool
     {
@@ -243,6 +255,7 @@
         data.expire(clock::now());
         auto events = data.events_since(request);
         batch.revision = data.revision();
+        batch.era = data.era();
         batch.compacted = !events.has_value();
         if (events.has_value())
         {
--- a/tests/unit/store_watcher_test.cpp
+++ b/tests/unit/store_watcher_test.cpp
@@ -50,10 +50,14 @@
     // Writes the next version directly to the store.
     auto change() -> void
     {
-        const auto is_first = stored.version == 0;
-        const auto name = "s" + std::to_string(stored.version);
         const endpoint address{
             static_cast<std::uint32_t>(0x0a000001 + stored.version), 5683};
+        change("s" + std::to_string(stored.version), address);
+    }
+
+    auto change(const std::string& name, const endpoint& address) -> void
+    {
+        const auto is_first = stored.version == 0;
         const auto edited = apply_edit(
             is_first ? initial_configuration({}) : stored,
             create_service{name, {address, {}}}, {"1-a", "test", now});
@@ -211,3 +215,69 @@
     fixture.run(minutes(10));
     CHECK(fixture.client.calls == before);
 }
+
+// Guards against: operators' changes that were accepted after a restore reach
+// no daemon, since the watch waits for a revision of the former history.
+TEST_CASE("a store restored from an older copy: a watcher receives the changes "
+          "that follow")
+{
+    store_watcher_fixture fixture;
+    fixture.change();
+    const auto copy = fixture.data;
+    const auto copied = fixture.stored;
+    for (int n = 0; n < 10; ++n)
+    {
+        fixture.data.commit({{}, {{"other", "value", false, 0}}});
+    }
+    fixture.change();
+    fixture.change();
+    fixture.run(seconds(2));
+    REQUIRE(fixture.is_current());
+    const auto held_version = fixture.held->version;
+
+    SUBCASE("while the store was away")
+    {
+        fixture.client.down = true;
+        fixture.run(seconds(2));
+        fixture.client.down = false;
+    }
+    SUBCASE("while the watch stayed open") {}
+    fixture.data.restore(copy);
+    fixture.stored = copied;
+    fixture.run(convergence_time_max);
+    // Nothing older is adopted.
+    CHECK(fixture.held->version == held_version);
+    while (fixture.stored.version <= held_version)
+    {
+        fixture.change();
+    }
+    fixture.run(convergence_time_max);
+    CHECK(fixture.is_current());
+}
+
+// Guards against: a configuration that has the version of the held one, and
+// other contents, is taken for it, and later changes are applied to the wrong
+// one.
+TEST_CASE("a store restored from an older copy: a configuration of the same "
+          "version is loaded anew")
+{
+    store_watcher_fixture fixture;
+    fixture.change();
+    const auto copy = fixture.data;
+    const auto copied = fixture.stored;
+    fixture.change();
+    fixture.run(seconds(2));
+    REQUIRE(fixture.is_current());
+    fixture.client.down = true;
+    fixture.run(seconds(1));
+    fixture.data.restore(copy);
+    fixture.stored = copied;
+    const endpoint other_address{0x0a00ff01, 5683};
+    fixture.change("other", other_address);
+    REQUIRE(fixture.stored.version == fixture.held->version);
+    fixture.client.down = false;
+    fixture.run(seconds(2));
+    fixture.change();
+    fixture.run(convergence_time_max);
+    CHECK(fixture.is_current());
+}
