A fencing token of before a restore does not write

What would be seen: two processes hold the lease of the daily totals and both write.

The fencing token was the key's create revision, which a restored store gives out again, to another holder; lease ids too, so that the former holder renews the other's lease and goes on believing.

Fix: an acquisition creates a second key whose name no other acquisition has, with the same lease; writes compare both. A renewal answered in another era, or as not found, ends the holding at once.

--- a/modules/node/store/lease_holder.cpp
+++ b/modules/node/store/lease_holder.cpp
@@ -60,9 +60,11 @@
         done(make_error(error_kind::conflict, "the lease is not held"));
         return;
     }
-    const store_compare fence{key_, store_compare::field::create_revision,
-                              create_revision_};
-    store_.commit({{fence}, std::move(writes)}, std::move(done));
+    constexpr auto created = store_compare::field::create_revision;
+    const store_compare held{key_, created, create_revision_};
+    const store_compare held_by_this{acquisition_key_, created,
+                                     create_revision_};
+    store_.commit({{held, held_by_this}, std::move(writes)}, std::move(done));
 }
 
 auto lease_holder::acquire() -> void
@@ -82,8 +84,11 @@
 {
     const auto requested_at = now_;
     const store_compare absent{key_, store_compare::field::create_revision, 0};
+    acquisition_key_ =
+        key_ + "/" + name_ + "/" + std::to_string(++acquisitions_);
     store_.commit(
-        {{absent}, {{key_, name_, false, lease}}},
+        {{absent},
+         {{key_, name_, false, lease}, {acquisition_key_, "", false, lease}}},
         [this, lease, requested_at,
          alive = alive_](const absl::StatusOr<store_commit_result>& result)
         {
@@ -92,6 +97,7 @@
                 return;
             }
             lease_ = lease;
+            era_ = result->era;
             create_revision_ = result->revision;
             // Counted from the request, because the answer may be delayed.
             held_until_ = requested_at + settings_.ttl;
@@ -109,19 +115,41 @@
                       [this, requested_at,
                        alive = alive_](const absl::StatusOr<store_lease>& lease)
                       {
-                          if (!*alive || !lease.ok() || create_revision_ == 0)
+                          if (*alive && create_revision_ != 0)
                           {
-                              return;
+                              on_kept_alive(requested_at, lease);
                           }
-                          if (lease->remaining <= millis{})
-                          {
-                              on_lease_lost("expired");
-                              return;
-                          }
-                          held_until_ = requested_at + lease->remaining;
                       });
 }
 
+auto lease_holder::on_kept_alive(millis requested_at,
+                                 const absl::StatusOr<store_lease>& lease)
+    -> void
+{
+    if (error_kind_of(lease.status()) == error_kind::not_found)
+    {
+        on_lease_lost("expired");
+        return;
+    }
+    if (!lease.ok())
+    {
+        // Unknown whether it was renewed: it is held until it would lapse.
+        return;
+    }
+    if (lease->era != era_)
+    {
+        // The id may have been given to another lease.
+        on_lease_lost("restored");
+        return;
+    }
+    if (lease->remaining <= millis{})
+    {
+        on_lease_lost("expired");
+        return;
+    }
+    held_until_ = requested_at + lease->remaining;
+}
+
 auto lease_holder::on_lease_lost(std::string_view reason) -> void
 {
     create_revision_ = 0;
--- a/modules/node/store/lease_holder.hpp
+++ b/modules/node/store/lease_holder.hpp
@@ -21,15 +21,17 @@
 // Elects a single writer among several processes with a lease on a key.
 //
 // The holder creates the key with a lease and keeps the lease alive. When the
-// lease expires the key is deleted, and another process may create it. Every
-// write compares the create revision of the key as a fencing token, so a
-// process that was paused beyond its lease cannot write, even while it still
-// considers itself the holder.
+// lease expires the key is deleted, and another process may create it. With the
+// key the holder creates a second one, whose name is only used for this
+// acquisition. Every write compares the create revisions of both as a fencing
+// token, so a process that was paused beyond its lease cannot write, even while
+// it still considers itself the holder, and even if the store was restored from
+// an older copy and has given the revision to another holder.
 class lease_holder
 {
 public:
     // key exists while a process holds the lease; its value is the name of the
-    // holder.
+    // holder, which no other run of a process may have.
     lease_holder(store& target, std::string key, std::string name,
                  lease_holder_settings settings);
     ~lease_holder();
@@ -52,6 +54,8 @@
     auto acquire() -> void;
     auto create_key(lease_id lease) -> void;
     auto keep_alive() -> void;
+    auto on_kept_alive(millis requested_at,
+                       const absl::StatusOr<store_lease>& lease) -> void;
     auto on_lease_lost(std::string_view reason) -> void;
 
     store& store_;
@@ -62,6 +66,10 @@
     millis next_attempt_;
     millis held_until_;
     lease_id lease_ = 0;
+    // The era in which the lease was acquired.
+    store_era era_ = 0;
+    std::uint64_t acquisitions_ = 0;
+    std::string acquisition_key_;
     // The revision at which the key was created; 0 while not the holder.
     store_revision create_revision_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/unit/store_lease_test.cpp
+++ b/tests/unit/store_lease_test.cpp
@@ -131,3 +131,37 @@
     fixture.run(seconds(30));
     CHECK(fixture.one.holder.is_holder() != fixture.two.holder.is_holder());
 }
+
+// Guards against: after a restore, two processes hold the lease at once and
+// both write, since the fencing token of one was given to the other as well.
+TEST_CASE("a store restored from an older copy: a fencing token of before does "
+          "not write")
+{
+    lease_fixture it;
+    const auto copy = it.data;
+    it.two.paused = true;
+    it.run(seconds(2));
+    REQUIRE(it.one.holder.is_holder());
+    const auto key_revision = [&]
+    {
+        return it.data.range({lease_key, "", 0, 0})
+            .values.at(0)
+            .create_revision;
+    };
+    const auto token = key_revision();
+    it.one.paused = true;
+    it.data.restore(copy);
+    it.two.paused = false;
+    it.run(seconds(2));
+    REQUIRE(it.two.holder.is_holder());
+    REQUIRE(key_revision() == token);
+    CHECK(it.write(it.two, "2"));
+    it.one.paused = false;
+    REQUIRE(it.one.holder.is_holder());
+    CHECK_FALSE(it.write(it.one, "1"));
+    CHECK(it.total() == "2");
+    // Renewing the lease of the other does not make it the holder.
+    it.run(lease_holder_settings{}.ttl / 2);
+    CHECK_FALSE(it.one.holder.is_holder());
+    CHECK(it.two.holder.is_holder());
+}
