A change made on a configuration that a restore took away is refused

What operators would see: a change that was accepted is gone, overwritten by one that was prepared before the restore and committed after it.

Fix: the commit compares the root value, which holds the id of the change that wrote it and is never written twice; etcd compares values as it does revisions.

--- a/modules/io/operator/change_command.cpp
+++ b/modules/io/operator/change_command.cpp
@@ -30,7 +30,7 @@
 struct prepared_change
 {
     edited_configuration edited;
-    store_revision root_revision = 0;
+    std::optional<std::string> root;
     history_entry entry;
 };
 
@@ -53,7 +53,7 @@
                  author.name,      author.at,
                  summary_of(edit), describe_difference(before, edited->after)};
     out.edited = *std::move(edited);
-    out.root_revision = loaded.root_revision;
+    out.root = loaded.root;
     return out;
 }
 
@@ -177,8 +177,8 @@
         print_dry_run(options, prepared->entry);
         return absl::OkStatus();
     }
-    const auto outcome = session.commit(
-        prepared->edited, prepared->root_revision, prepared->entry);
+    const auto outcome =
+        session.commit(prepared->edited, prepared->root, prepared->entry);
     return report(options, prepared->entry, outcome);
 }
 
--- a/modules/io/operator/store_session.cpp
+++ b/modules/io/operator/store_session.cpp
@@ -153,14 +153,14 @@
 }
 
 auto store_session::commit(const edited_configuration& edited,
-                           store_revision root_revision,
+                           const std::optional<std::string>& root,
                            const history_entry& entry) -> commit_report
 {
     change_committer_settings settings;
     settings.deadline =
         std::max(started_ + patience_ - clock::now(), progress_interval);
     change_committer committer(client_, layout_, settings);
-    committer.begin(clock::now(), edited, root_revision, entry);
+    committer.begin(clock::now(), edited, root, entry);
     while (!committer.report().has_value())
     {
         tasks_.run_one(wait_interval);
--- a/modules/io/operator/store_session.hpp
+++ b/modules/io/operator/store_session.hpp
@@ -30,8 +30,8 @@
         -> absl::StatusOr<std::vector<history_entry>>;
 
     auto commit(const edited_configuration& edited,
-                store_revision root_revision, const history_entry& entry)
-        -> commit_report;
+                const std::optional<std::string>& root,
+                const history_entry& entry) -> commit_report;
 
 private:
     template <typename Result, typename Call>
--- a/modules/io/store/etcd_json.cpp
+++ b/modules/io/store/etcd_json.cpp
@@ -55,6 +55,13 @@
 
 auto write_compare(const store_compare& compare) -> json
 {
+    if (compare.target == store_compare::field::value)
+    {
+        return {{"key", encode(compare.key)},
+                {"result", "EQUAL"},
+                {"target", "VALUE"},
+                {"value", encode(compare.expected_value)}};
+    }
     const auto is_create =
         compare.target == store_compare::field::create_revision;
     json out = {{"key", encode(compare.key)},
--- a/modules/node/store/change_committer.cpp
+++ b/modules/node/store/change_committer.cpp
@@ -17,7 +17,7 @@
 }
 
 auto change_committer::begin(millis now, const edited_configuration& edited,
-                             store_revision root_revision,
+                             const std::optional<std::string>& root,
                              const history_entry& entry) -> void
 {
     // The caller called begin() twice on the same committer.
@@ -25,9 +25,14 @@
     now_ = now;
     started_at_ = now;
     change_id_ = edited.after.change_id;
-    transaction_.compares.push_back({layout_.key_of(root_key),
-                                     store_compare::field::mod_revision,
-                                     root_revision});
+    store_compare is_unchanged;
+    is_unchanged.key = layout_.key_of(root_key);
+    if (root.has_value())
+    {
+        is_unchanged.target = store_compare::field::value;
+        is_unchanged.expected_value = *root;
+    }
+    transaction_.compares.push_back(std::move(is_unchanged));
     for (const auto& change : edited.changes)
     {
         transaction_.writes.push_back(
--- a/modules/node/store/change_committer.hpp
+++ b/modules/node/store/change_committer.hpp
@@ -43,9 +43,9 @@
 // Commits one change to the store at most once.
 //
 // Call begin(), then tick() until report() has a value. The change is a single
-// transaction that compares the revision of the root value, so it can be
-// retried safely. When an answer is lost, the history entry of the version
-// shows whose change took effect.
+// transaction that compares the root value, so it can be retried safely. When
+// an answer is lost, the history entry of the version shows whose change took
+// effect.
 class change_committer
 {
 public:
@@ -55,11 +55,11 @@
     change_committer(const change_committer&) = delete;
     auto operator=(const change_committer&) -> change_committer& = delete;
 
-    // root_revision is the revision of the root value at the time the
-    // configuration was read for editing. Call once.
+    // root is the root value when the configuration was read for editing, or
+    // nothing when there was none. Call once.
     auto begin(millis now, const edited_configuration& edited,
-               store_revision root_revision, const history_entry& entry)
-        -> void;
+               const std::optional<std::string>& root,
+               const history_entry& entry) -> void;
 
     auto tick(millis now) -> void;
 
--- a/modules/node/store/configuration_load.cpp
+++ b/modules/node/store/configuration_load.cpp
@@ -47,7 +47,7 @@
         state.changes.push_back({key, item.value});
         if (key == root_key)
         {
-            state.out.root_revision = item.mod_revision;
+            state.out.root = item.value;
         }
     }
 }
--- a/modules/node/store/configuration_load.hpp
+++ b/modules/node/store/configuration_load.hpp
@@ -6,6 +6,8 @@
 #include "node/store/store_layout.hpp"
 
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace briardrum
 {
@@ -16,9 +18,9 @@
 {
     std::shared_ptr<const configuration> value;
     store_position position;
-    // mod_revision of the root value, for use in a compare; 0 when it does not
-    // exist.
-    store_revision root_revision = 0;
+    // The root value, for use in a compare; each change writes another one.
+    // Nothing when it does not exist.
+    std::optional<std::string> root;
 };
 
 // Reads the whole configuration page by page, all pages at the same revision;
--- a/modules/node/store/store.hpp
+++ b/modules/node/store/store.hpp
@@ -72,18 +72,23 @@
     store_era era = 0;
 };
 
-// A condition on a revision of a key. A key that does not exist has revision 0.
+// A condition on a revision of a key, or on its value. A key that does not
+// exist has revision 0 and no value. A revision that was read earlier may have
+// been given out again since, after a restore; a value that is written only
+// once has not.
 struct store_compare
 {
     enum class field : std::uint8_t
     {
         create_revision,
         mod_revision,
+        value,
     };
 
     std::string key;
     field target = field::mod_revision;
     store_revision expected = 0;
+    std::string expected_value = {};
 };
 
 // A write within a transaction. A key with a lease is deleted when the lease
--- a/stand_ins/store/gateway_json.cpp
+++ b/stand_ins/store/gateway_json.cpp
@@ -42,6 +42,12 @@
     const auto is_create = in.at("target") == "CREATE";
     store_compare out;
     out.key = decode(in, "key");
+    if (in.at("target") == "VALUE")
+    {
+        out.target = store_compare::field::value;
+        out.expected_value = decode(in, "value");
+        return out;
+    }
     out.target = is_create ? store_compare::field::create_revision
                            : store_compare::field::mod_revision;
     out.expected = number(in, is_create ? "create_revision" : "mod_revision");
--- a/stand_ins/store/memory_store.cpp
+++ b/stand_ins/store/memory_store.cpp
@@ -173,7 +173,12 @@
     const auto it = entries_.find(compare.key);
     if (it == entries_.end())
     {
-        return compare.expected == 0;
+        return compare.target != store_compare::field::value &&
+               compare.expected == 0;
+    }
+    if (compare.target == store_compare::field::value)
+    {
+        return it->second.value == compare.expected_value;
     }
     const auto found = compare.target == store_compare::field::mod_revision
                            ? it->second.modified
--- a/tests/unit/store_change_test.cpp
+++ b/tests/unit/store_change_test.cpp
@@ -59,12 +59,12 @@
         edited = *std::move(result);
         entry = {version,          id,          name, fixture.now,
                  summary_of(edit), {"~ a line"}};
-        root_revision = base.root_revision;
+        root = base.root;
     }
 
     auto begin() -> void
     {
-        committer.begin(fixture.now, edited, root_revision, entry);
+        committer.begin(fixture.now, edited, root, entry);
     }
 
     auto run(millis span) -> void
@@ -89,7 +89,7 @@
     }
 
     history_entry entry;
-    store_revision root_revision = 0;
+    std::optional<std::string> root;
 };
 
 auto create(const std::string& name, std::uint32_t n) -> configuration_edit
@@ -263,3 +263,31 @@
     CHECK(again->difference == entry.difference);
     CHECK_FALSE(read_history_entry("{}").has_value());
 }
+
+// Guards against: an operator's change, made on a configuration that a restore
+// took away, overwrites the one that another operator made since.
+TEST_CASE("a store restored from an older copy: a change made on what is gone "
+          "is refused")
+{
+    operator_fixture fixture;
+    command first(fixture, create("one", 1), "anna", fixture.stored());
+    first.begin();
+    REQUIRE(first.outcome() == commit_outcome::accepted);
+    const auto copy = fixture.data;
+    command lost(fixture, create("two", 2), "anna", fixture.stored());
+    lost.begin();
+    REQUIRE(lost.outcome() == commit_outcome::accepted);
+    command late(fixture, create("three", 3), "anna", fixture.stored());
+    const auto revision = fixture.data.revision();
+
+    fixture.data.restore(copy);
+    command other(fixture, create("four", 4), "boris", fixture.stored());
+    other.begin();
+    REQUIRE(other.outcome() == commit_outcome::accepted);
+    REQUIRE(fixture.data.revision() == revision);
+    late.begin();
+    CHECK(late.outcome() != commit_outcome::accepted);
+    const auto stored = fixture.stored();
+    REQUIRE(stored.value != nullptr);
+    CHECK(*stored.value == other.edited.after);
+}
