Soak and a check with real programs: the platform's store comes back from an older copy

The stand-in site has operators of its own now: on SIGUSR1 they write some versions in quick succession, take the store away, bring back a copy that is seconds old, write the newest version again and another one.

--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,8 +1,9 @@
 # Sourced by ./run after the build: the packet programs as separate processes
 # beside the stand-in for the users' platform, while a seeded series of signals
-# stops, kills, pauses and reloads them, overlapping, and the store goes away.
-# The stand-in says what callers and servers saw. Prints a line a seed; fails
-# when a promise was broken or a process ended by itself.
+# stops, kills, pauses and reloads them, overlapping, and the store goes away and
+# comes back from older copies. The stand-in says what callers and servers saw.
+# Prints a line a seed; fails when a promise was broken, a process ended by
+# itself or a balancer does not hold the newest configuration at the end.
 . scripts/lib/packet_site.sh
 
 seeds=5
@@ -96,7 +97,9 @@
     RANDOM=$1
     fault_pid=() fault_state=() fault_until=()
     start_packet_site "$balancers" "$agents" --seconds "$seconds" --store-outage
+    fault_balancers=()
     for ((n = 1; n <= balancers; n++)); do
+        fault_balancers+=("balancer-$n")
         fault_pid[balancer-$n]=${site_balancers[n]}
         fault_state[balancer-$n]=up
     done
@@ -114,12 +117,17 @@
     for ((fault_tick = 0; fault_tick < fault_ticks; fault_tick++)); do
         end_faults
         [ $((RANDOM % 5)) -ne 0 ] || begin_fault
+        if [ $((RANDOM % 50)) -eq 0 ]; then
+            restore_store
+            note_fault "store restored"
+        fi
         sleep 0.1
     done
     fault_tick=1000000
     end_faults
     wait_for_site_done || verdict=$?
     count_ended || verdict=1
+    newest_version_adopted "${fault_balancers[@]}" || verdict=1
     echo "seed=$1 verdict=$([ "$verdict" -eq 0 ] && echo pass || echo fail)" \
         "$(grep site_done "$site_work/site.log") logs=$site_work"
     stop_packet_site
--- a/scripts/lib/packet_site.sh
+++ b/scripts/lib/packet_site.sh
@@ -71,6 +71,26 @@
     return 1
 }
 
+# Brings the store back from an older copy of its data.
+restore_store() {
+    kill -USR1 "$site_pid"
+}
+
+# True when these balancers adopted the newest version that was written.
+newest_version_adopted() {
+    local name newest held all=0
+    newest=$(sed -n 's/.*site_done.* version=\([0-9]*\).*/\1/p' \
+        "$site_work/site.log")
+    for name in "$@"; do
+        held=$(sed -n 's/.*event=configuration_adopted version=\([0-9]*\).*/\1/p' \
+            "$site_work/$name.log" | tail -n 1)
+        [ "$held" = "$newest" ] && continue
+        echo "$name holds version $held of $newest; logs in $site_work" >&2
+        all=1
+    done
+    return "$all"
+}
+
 # The stand-in's own verdict.
 wait_for_site_done() {
     wait "$site_pid"
--- a/stand_ins/packet_site/main.cpp
+++ b/stand_ins/packet_site/main.cpp
@@ -1,9 +1,11 @@
 #include "stand_ins/packet_site/platform_store.hpp"
 #include "stand_ins/packet_site/site_callers.hpp"
+#include "stand_ins/packet_site/site_operator.hpp"
 #include "stand_ins/packet_site/site_server.hpp"
 #include "stand_ins/shared/command_line.hpp"
 
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -79,11 +81,26 @@
     context.run_for(std::chrono::seconds(seconds));
 }
 
+// Each SIGUSR1 restores the store from an older copy.
+auto restore_on_signal(asio::signal_set& signals, site_operator& operators)
+    -> void
+{
+    signals.async_wait(
+        [&signals, &operators](const asio::error_code& ec, int)
+        {
+            if (!ec)
+            {
+                operators.restore();
+                restore_on_signal(signals, operators);
+            }
+        });
+}
+
 } // namespace
 
-// Stands in for the users' platform on loopback: its store, its fabric with
-// callers, and the backend servers beside the agents. Every second server is
-// the surveys', the others are the orders'.
+// Stands in for the users' platform on loopback: its store, its operators, its
+// fabric with callers, and the backend servers beside the agents. Every second
+// server is the surveys', the others are the orders'.
 auto main(int argc, char** argv) -> int
 {
     site_options options;
@@ -106,8 +123,10 @@
         std::fprintf(stderr, "packet_site: --store cannot be bound\n");
         return 1;
     }
-    store.put("op/config", configuration_text(1));
     asio::io_context context;
+    site_operator operators(context, store, configuration_text);
+    asio::signal_set restore_requests(context, SIGUSR1);
+    restore_on_signal(restore_requests, operators);
     std::map<std::string, std::uint64_t> runs;
     std::vector<std::unique_ptr<site_server>> servers;
     for (std::uint32_t n = 0; n < options.agents; ++n)
@@ -155,11 +174,11 @@
     std::fflush(stdout);
     callers.begin();
     run_for(context, options.seconds / 3);
-    store.set_down(options.store_outage);
+    operators.set_outage(options.store_outage);
     servers.front()->drain();
     run_for(context, options.seconds / 3);
-    store.set_down(false);
-    store.put("op/config", configuration_text(2));
+    operators.set_outage(false);
+    operators.change();
     run_for(context, options.seconds / 3);
     callers.end();
     run_for(context, settle_seconds);
@@ -181,11 +200,12 @@
     };
     std::printf("event=site_done asked=%llu answered=%llu refused=%llu "
                 "unanswered=%llu wrong=%llu broken=%llu doubled=%llu "
-                "changed=%llu drain_heard=%s\n",
+                "changed=%llu drain_heard=%s restores=%llu version=%llu\n",
                 number(it.asked), number(it.answered), number(it.refused),
                 number(it.unanswered), number(it.wrong), number(it.broken),
                 number(doubled), number(changed),
-                servers.front()->is_leave_heard() ? "yes" : "no");
+                servers.front()->is_leave_heard() ? "yes" : "no",
+                number(operators.restores()), number(operators.version()));
     const auto kept = it.wrong == 0 && it.broken == 0 && doubled == 0 &&
                       changed == 0 && it.answered > 0 &&
                       servers.front()->is_leave_heard();
--- a/stand_ins/packet_site/platform_store.cpp
+++ b/stand_ins/packet_site/platform_store.cpp
@@ -102,6 +102,12 @@
                 out.status = status_down;
                 return httplib::Server::HandlerResponse::Handled;
             });
+        server.set_post_routing_handler(
+            [this](const httplib::Request&, httplib::Response& out)
+            {
+                const std::lock_guard lock(mutex);
+                out.set_header("Store-Era", std::to_string(data.era()));
+            });
         server.Get("/v1/kv-key",
                    [this](const httplib::Request& in, httplib::Response& out)
                    {
@@ -174,7 +180,8 @@
             std::this_thread::sleep_for(watch_interval);
             const std::lock_guard lock(mutex);
             const auto found = data.events_since(request);
-            if (!found.has_value())
+            if (!found.has_value() ||
+                request.start_revision > data.revision() + 1)
             {
                 out.status = status_compacted;
                 return;
@@ -245,6 +252,18 @@
     state_->data.commit(request);
 }
 
+auto platform_store::copy() const -> memory_store
+{
+    const std::lock_guard lock(state_->mutex);
+    return state_->data;
+}
+
+auto platform_store::restore(const memory_store& from) -> void
+{
+    const std::lock_guard lock(state_->mutex);
+    state_->data.restore(from);
+}
+
 auto platform_store::set_down(bool down) -> void
 {
     state_->down = down;
--- a/stand_ins/packet_site/platform_store.hpp
+++ b/stand_ins/packet_site/platform_store.hpp
@@ -2,6 +2,7 @@
 #define BRIARDRUM_STAND_INS_PACKET_SITE_PLATFORM_STORE_HPP
 
 #include "core/core.hpp"
+#include "stand_ins/store/memory_store.hpp"
 
 #include <memory>
 #include <string>
@@ -28,6 +29,10 @@
     // While it is down, every call is refused.
     auto set_down(bool down) -> void;
 
+    // What it holds now, and coming back from such a copy.
+    auto copy() const -> memory_store;
+    auto restore(const memory_store& from) -> void;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
