Review: names and bounds of the era; a lease that a restore took is not held

The read of the diff found: the watcher's note of a reopened watch was kept across eras; a lease granted before a restore and a key created after it counted as held, though the lease's id may be another's by then; append_page decides and so stands with the store's interface, not in platform/.

--- a/modules/node/store/document_watch.cpp
+++ b/modules/node/store/document_watch.cpp
@@ -74,7 +74,7 @@
     mark_connected(result->revision);
     for (const auto& it : result->values)
     {
-        deliver_if_news(it.value, it.mod_revision);
+        deliver_if_newer(it.value, it.mod_revision);
     }
     watch_start_revision_ = result->revision + 1;
     watch();
@@ -131,7 +131,7 @@
     {
         if (!it.removed && it.key == settings_.key)
         {
-            deliver_if_news(it.value, it.mod_revision);
+            deliver_if_newer(it.value, it.mod_revision);
         }
     }
 }
@@ -148,11 +148,11 @@
     read();
 }
 
-auto document_watch::deliver_if_news(const std::string& value,
-                                     store_revision mod_revision) -> void
+auto document_watch::deliver_if_newer(const std::string& value,
+                                      store_revision mod_revision) -> void
 {
     const store_position found{era(), mod_revision};
-    if (!found.may_be_news_after(position_))
+    if (!found.may_be_newer_than(position_))
     {
         report_ignored(mod_revision);
         return;
--- a/modules/node/store/document_watch.hpp
+++ b/modules/node/store/document_watch.hpp
@@ -72,7 +72,7 @@
     auto on_range(const absl::StatusOr<store_range_result>& result) -> void;
     auto watch() -> void;
     auto on_batch(const absl::StatusOr<store_watch_batch>& batch) -> void;
-    auto deliver_if_news(const std::string& value, store_revision mod_revision)
+    auto deliver_if_newer(const std::string& value, store_revision mod_revision)
         -> void;
     auto report_ignored(store_revision mod_revision) -> void;
     auto update_era(store_era era, store_revision revision) -> void;
@@ -90,7 +90,8 @@
     millis backoff_;
     store_position position_;
     store_revision watch_start_revision_ = 0;
-    // Bounds how often lost history is answered by a read at once.
+    // Reads that follow at once when a watch lost its history are this far
+    // apart from the read before them.
     millis next_immediate_read_;
     // Nothing until the first answer.
     std::optional<store_era> era_;
--- a/modules/node/store/lease_holder.cpp
+++ b/modules/node/store/lease_holder.cpp
@@ -75,12 +75,12 @@
         {
             if (*alive && lease.ok())
             {
-                create_key(lease->id);
+                create_key(*lease);
             }
         });
 }
 
-auto lease_holder::create_key(lease_id lease) -> void
+auto lease_holder::create_key(const store_lease& lease) -> void
 {
     const auto requested_at = now_;
     const store_compare absent{key_, store_compare::field::create_revision, 0};
@@ -88,7 +88,8 @@
         key_ + "/" + name_ + "/" + std::to_string(++acquisitions_);
     store_.commit(
         {{absent},
-         {{key_, name_, false, lease}, {acquisition_key_, "", false, lease}}},
+         {{key_, name_, false, lease.id},
+          {acquisition_key_, "", false, lease.id}}},
         [this, lease, requested_at,
          alive = alive_](const absl::StatusOr<store_commit_result>& result)
         {
@@ -96,7 +97,12 @@
             {
                 return;
             }
-            lease_ = lease;
+            if (result->era != lease.era)
+            {
+                // The lease is gone, and its id may be another one's by now.
+                return;
+            }
+            lease_ = lease.id;
             era_ = result->era;
             create_revision_ = result->revision;
             // Counted from the request, because the answer may be delayed.
--- a/modules/node/store/lease_holder.hpp
+++ b/modules/node/store/lease_holder.hpp
@@ -52,7 +52,7 @@
 
 private:
     auto acquire() -> void;
-    auto create_key(lease_id lease) -> void;
+    auto create_key(const store_lease& lease) -> void;
     auto keep_alive() -> void;
     auto on_kept_alive(millis requested_at,
                        const absl::StatusOr<store_lease>& lease) -> void;
--- a/modules/node/store/store.hpp
+++ b/modules/node/store/store.hpp
@@ -29,9 +29,9 @@
 
     auto operator==(const store_position&) const -> bool = default;
 
-    // True when this is a later point of the same history, or a point of
-    // another one, about which nothing is known.
-    auto may_be_news_after(const store_position& other) const -> bool
+    // True when this is a later point of the same history, or any point of
+    // another one, for histories are not ordered.
+    auto may_be_newer_than(const store_position& other) const -> bool
     {
         return era != other.era || revision > other.revision;
     }
@@ -73,9 +73,9 @@
 };
 
 // A condition on a revision of a key, or on its value. A key that does not
-// exist has revision 0 and no value. A revision that was read earlier may have
-// been given out again since, after a restore; a value that is written only
-// once has not.
+// exist has revision 0 and no value. After a restore a revision is given out
+// again, so a revision that was read earlier does not prove that the key is
+// unchanged; a value does if each write stores another one.
 struct store_compare
 {
     enum class field : std::uint8_t
@@ -184,6 +184,11 @@
     virtual auto cancel_watch(watch_id id) -> void = 0;
 };
 
+// Appends a page to the pages read before it, which keep their revision.
+// Returns error_kind::unavailable when the store was restored between the two.
+auto append_page(store_range_result& pages, store_range_result page)
+    -> absl::Status;
+
 // Returns the range_end that selects all keys with this prefix. The prefix must
 // not be empty or end in 0xff.
 auto prefix_end(std::string_view prefix) -> std::string;
--- a/modules/node/store/store_watcher.cpp
+++ b/modules/node/store/store_watcher.cpp
@@ -119,6 +119,8 @@
              .with("held_revision",
                    static_cast<std::uint64_t>(position_.revision)));
     discard_base();
+    polled_revision_ = 0;
+    reopened_for_revision_ = 0;
     must_load_ = true;
     return false;
 }
--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -263,3 +263,18 @@
     run(seconds(10));
     CHECK(client.calls == calls);
 }
+
+// Guards against: entries of two histories are taken for one state.
+TEST_CASE(
+    "a store restored from an older copy between two pages fails the read")
+{
+    const store_range_result first{9, {{"a", "1", 1, 1}}, true, 1};
+    auto pages = store_range_result{};
+    REQUIRE(append_page(pages, first).ok());
+    REQUIRE(append_page(pages, {12, {{"b", "2", 2, 2}}, true, 1}).ok());
+    CHECK(pages.revision == 9);
+    CHECK(pages.values.size() == 2);
+    CHECK(
+        error_kind_of(append_page(pages, {9, {{"c", "3", 3, 3}}, false, 2})) ==
+        error_kind::unavailable);
+}
