The site's servers begin each flow at another position

Trace (flow 127.3.0.1:1402): balancer-1 was paused for 1.9 s with copies of the opening packet and of the request in its socket; the flow ended at agent-5 meanwhile. When it ran on, the old opening packet began the flow anew at the same server (flow_placed copies=1 to 3, flow_started at agent-5 again), and the old request was run again.

Cause: the rig, not the programs. Its servers began every flow at the same position, so that the acknowledgement in the old request matched the new flow. Servers of the users' platform send a position of their own with each SYN+ACK and open the flow only where that is acknowledged; packets of an ended flow are not run. The check of doubled requests is unchanged.

--- a/stand_ins/packet_site/site_server.hpp
+++ b/stand_ins/packet_site/site_server.hpp
@@ -46,13 +46,19 @@
 private:
     struct flow
     {
+        // The server's own position at the start of the flow.
+        std::uint32_t first_sequence = 0;
         bool asked = false;
     };
 
-    auto first_sequence() const -> std::uint32_t;
+    auto accept(const wire_packet& opening) -> void;
+    auto next_first_sequence() -> std::uint32_t;
     auto on_packet(byte_view bytes) -> void;
     auto send(const wire_packet& packet) -> void;
-    auto answer(const wire_packet& request) -> void;
+    auto return_to_sender(byte_view bytes) -> void;
+    auto run(const wire_packet& request, std::uint32_t first_sequence) -> void;
+    auto answer(const wire_packet& request, std::uint32_t first_sequence)
+        -> void;
     auto beat() -> void;
 
     asio::io_context& context_;
@@ -63,6 +69,7 @@
     asio::steady_timer timer_;
     std::map<std::pair<endpoint, endpoint>, flow> flows_;
     std::uint64_t sequence_ = 0;
+    std::uint32_t accepted_ = 0;
     std::uint64_t changed_ = 0;
     std::int64_t started_ms_;
     bool draining_ = false;
