--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -30,7 +30,8 @@
     rm -f "$log"
 }
 
-# The unit tests that are listed as "unit: NAME", one a line.
+# The unit tests that are listed as "unit: NAME", one a line. Such a name holds
+# no comma, which separates the filters of the test program.
 known_red_units() {
     awk -F ' [|] ' '$1 ~ /^unit: / { print substr($1, 7) }' KNOWN-RED.txt
 }
