--- a/modules/node/store/document_watch.hpp
+++ b/modules/node/store/document_watch.hpp
@@ -90,8 +90,8 @@
     millis backoff_;
     store_position position_;
     store_revision watch_start_revision_ = 0;
-    // Reads that follow at once when a watch lost its history are this far
-    // apart from the read before them.
+    // When a watch loses its history the key is read at once, but not before
+    // this time.
     millis next_immediate_read_;
     // Nothing until the first answer.
     std::optional<store_era> era_;
