--- a/review/stand_ins/review_site.hpp
+++ b/review/stand_ins/review_site.hpp
@@ -7,6 +7,7 @@
 //
 // Only POSIX and the C++ library are used.
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
