--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p target
-for source in stand_ins/*.cpp; do
-    g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "target/$(basename "$source" .cpp)" "$source"
+for source in stand_ins/*.cc; do
+    g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "target/$(basename "$source" .cc)" "$source"
 done
--- a/review/stand_ins/killed_at_once.cpp
+++ b/review/stand_ins/killed_at_once.cc
@@ -1,4 +1,4 @@
-#include "review_site.hpp"
+#include "review_site.h"
 
 using namespace review;
 
@@ -27,7 +27,8 @@
 {
     return "{\"version\":3,\"routes\":[{\"name\":\"r-1\",\"host\":\"" +
            route_host +
-           "\",\"prefix\":\"/8443/\",\"type\":\"idempotent\",\"timeoutMs\":4000,"
+           "\",\"prefix\":\"/8443/"
+           "\",\"type\":\"idempotent\",\"timeoutMs\":4000,"
            "\"targetLatencyMs\":250,\"priority\":2,\"service\":\"orders\","
            "\"maxAttempts\":2}],\"services\":[{\"name\":\"orders\","
            "\"healthPath\":\"/health\",\"maxConns\":2000,\"protocol\":\"h1\","
@@ -54,19 +55,19 @@
          wait = std::min<std::int64_t>(1600, wait * 2))
     {
         from.send(balancer, out);
-        const auto got = from.wait(it.port, std::min(wait, end - now_ms()),
-                                   [](const packet& in)
-                                   {
-                                       return in.has(flag_rst) ||
-                                              !in.data.empty();
-                                   });
+        const auto got =
+            from.wait(it.port, std::min(wait, end - now_ms()),
+                      [](const packet& in)
+                      {
+                          return in.has(flag_rst) || !in.data.empty();
+                      });
         if (got.has_value())
         {
             if (!got->has(flag_rst))
             {
                 it.sequence += static_cast<std::uint32_t>(text.size());
-                it.acknowledged =
-                    got->sequence + static_cast<std::uint32_t>(got->data.size());
+                it.acknowledged = got->sequence +
+                                  static_cast<std::uint32_t>(got->data.size());
             }
             return got;
         }
@@ -132,13 +133,15 @@
     };
     for (std::size_t n = 0; n < balancers.size(); ++n)
     {
-        programs.write_settings(name_of("balancer", n), balancers[n], seeds, "");
+        programs.write_settings(name_of("balancer", n), balancers[n], seeds,
+                                "");
         programs.start(name_of("balancer", n), false);
     }
     for (std::size_t n = 0; n < agents.size(); ++n)
     {
         // The last one is the other service's.
-        const std::string service = n + 1 < agents.size() ? "orders" : "surveys";
+        const std::string service =
+            n + 1 < agents.size() ? "orders" : "surveys";
         programs.write_settings(name_of("agent", n), agents[n], seeds, service);
         programs.start(name_of("agent", n), true);
         servers.push_back(
@@ -246,10 +249,10 @@
             {
                 auto& it = list[static_cast<std::size_t>(n)];
                 const auto asked_at = now_ms();
-                const auto got =
-                    ask(client, balancers[static_cast<std::size_t>(n) %
-                                          balancers.size()],
-                        it, "request-2", 4000);
+                const auto got = ask(
+                    client,
+                    balancers[static_cast<std::size_t>(n) % balancers.size()],
+                    it, "request-2", 4000);
                 const auto spared = !trouble || it.server != killed_server;
                 if (got.has_value() && !got->has(flag_rst))
                 {
@@ -269,12 +272,11 @@
                 const std::lock_guard lock(mutex);
                 const auto& at = foreign[it.port];
                 const auto& served = own[it.port];
-                const auto reached = std::any_of(
-                    served.begin(), served.end(),
-                    [&](std::int64_t time)
-                    {
-                        return time >= asked_at;
-                    });
+                const auto reached = std::any_of(served.begin(), served.end(),
+                                                 [&](std::int64_t time)
+                                                 {
+                                                     return time >= asked_at;
+                                                 });
                 if (spared && !reached && at.size() >= 3 &&
                     at.back() - at.front() >= reorder_window_ms)
                 {
--- a/review/stand_ins/review_site.hpp
+++ b/review/stand_ins/review_site.h
@@ -47,8 +47,8 @@
 inline auto now_ms() -> std::int64_t
 {
     static const auto start = steady::now();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               steady::now() - start)
+    return std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() -
+                                                                 start)
         .count();
 }
 
@@ -161,8 +161,8 @@
     std::size_t done = 0;
     while (done < text.size())
     {
-        const auto n = ::send(fd, text.data() + done, text.size() - done,
-                              MSG_NOSIGNAL);
+        const auto n =
+            ::send(fd, text.data() + done, text.size() - done, MSG_NOSIGNAL);
         if (n <= 0)
         {
             return false;
@@ -404,9 +404,9 @@
             const auto it = items_.find(query(line, "key"));
             status = it == items_.end() ? 404 : 200;
             return "{" +
-                   (it == items_.end() ? std::string()
-                                       : item_text(it->first, it->second) +
-                                             ",") +
+                   (it == items_.end()
+                        ? std::string()
+                        : item_text(it->first, it->second) + ",") +
                    "\"currentRev\":" + std::to_string(revision_) + "}";
         }
         if (has("/v1/kv-range"))
@@ -417,11 +417,12 @@
             {
                 if (key.rfind(prefix, 0) == 0)
                 {
-                    out += (out.empty() ? "{" : ",{") + item_text(key, it) +
-                           "}";
+                    out +=
+                        (out.empty() ? "{" : ",{") + item_text(key, it) + "}";
                 }
             }
-            return "{\"items\":[" + out + "],\"hasMore\":false,\"currentRev\":" +
+            return "{\"items\":[" + out +
+                   "],\"hasMore\":false,\"currentRev\":" +
                    std::to_string(revision_) + "}";
         }
         if (has("/v1/kv-watch"))
@@ -436,8 +437,8 @@
             std::size_t at = 0;
             while ((at = body.find("\"key\":\"", at)) != std::string::npos)
             {
-                const auto key = body.substr(
-                    at + 7, body.find('"', at + 7) - at - 7);
+                const auto key =
+                    body.substr(at + 7, body.find('"', at + 7) - at - 7);
                 // Members of an object come in any order: the value belongs to
                 // the same object as the key.
                 const auto open = body.rfind('{', at);
@@ -445,9 +446,9 @@
                 const auto value = body.find("\"value\":\"", open);
                 if (value != std::string::npos && value < close)
                 {
-                    write(key, body.substr(value + 9,
-                                           body.find('"', value + 9) - value -
-                                               9));
+                    write(key,
+                          body.substr(value + 9,
+                                      body.find('"', value + 9) - value - 9));
                 }
                 at = close;
             }
@@ -545,9 +546,8 @@
     {
         for (std::size_t i = 0; i < n; ++i)
         {
-            out[at + i] =
-                static_cast<char>(value >> (8U * static_cast<unsigned>(
-                                                     n - 1 - i)));
+            out[at + i] = static_cast<char>(
+                value >> (8U * static_cast<unsigned>(n - 1 - i)));
         }
     };
     put(0, 2, static_cast<std::uint32_t>(it.data.size()));
@@ -596,13 +596,34 @@
 struct ports
 {
     int base = 0;
-    auto datagram() const -> int { return base; }
-    auto ready() const -> int { return base + 1; }
-    auto control() const -> int { return base + 2; }
-    auto outbound() const -> int { return base + 3; }
-    auto app() const -> int { return base + 4; }
-    auto internal() const -> int { return base + 5; }
-    auto platform() const -> int { return base + 9; }
+    auto datagram() const -> int
+    {
+        return base;
+    }
+    auto ready() const -> int
+    {
+        return base + 1;
+    }
+    auto control() const -> int
+    {
+        return base + 2;
+    }
+    auto outbound() const -> int
+    {
+        return base + 3;
+    }
+    auto app() const -> int
+    {
+        return base + 4;
+    }
+    auto internal() const -> int
+    {
+        return base + 5;
+    }
+    auto platform() const -> int
+    {
+        return base + 9;
+    }
 };
 
 // A backend server: answers openings and health checks, runs requests, returns
@@ -633,16 +654,43 @@
         born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                     std::chrono::system_clock::now().time_since_epoch())
                     .count();
-        std::thread([this] { receive(); }).detach();
-        std::thread([this] { answer_health(); }).detach();
-        std::thread([this] { beat(); }).detach();
+        std::thread(
+            [this]
+            {
+                receive();
+            })
+            .detach();
+        std::thread(
+            [this]
+            {
+                answer_health();
+            })
+            .detach();
+        std::thread(
+            [this]
+            {
+                beat();
+            })
+            .detach();
         return true;
     }
 
-    auto id() const -> const std::string& { return id_; }
-    auto service() const -> const std::string& { return service_; }
-    auto ip() const -> const std::string& { return ip_; }
-    auto is_known() const -> bool { return acknowledged_; }
+    auto id() const -> const std::string&
+    {
+        return id_;
+    }
+    auto service() const -> const std::string&
+    {
+        return service_;
+    }
+    auto ip() const -> const std::string&
+    {
+        return ip_;
+    }
+    auto is_known() const -> bool
+    {
+        return acknowledged_;
+    }
 
 private:
     struct flow
@@ -693,8 +741,8 @@
                 it.next = it.first + 1;
                 it.expected = in->sequence + 1;
             }
-            send(write_packet(answer(*in, it.first, it.expected,
-                                     flag_syn | flag_ack, "")));
+            send(write_packet(
+                answer(*in, it.first, it.expected, flag_syn | flag_ack, "")));
             return;
         }
         const auto found = flows_.find(key);
@@ -721,8 +769,7 @@
         }
         if (in->sequence != it.expected)
         {
-            send(write_packet(
-                answer(*in, it.next, it.expected, flag_ack, "")));
+            send(write_packet(answer(*in, it.next, it.expected, flag_ack, "")));
             return;
         }
         it.expected += static_cast<std::uint32_t>(in->data.size());
@@ -885,8 +932,8 @@
         if (pid == 0)
         {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            const int out = ::open(log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+            const int out =
+                ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
             ::setenv("BRIARDRUM_CONFIG", settings.c_str(), 1);
--- a/review/stand_ins/silent_store_connections.cpp
+++ b/review/stand_ins/silent_store_connections.cc
@@ -1,4 +1,4 @@
-#include "review_site.hpp"
+#include "review_site.h"
 
 using namespace review;
 
@@ -17,7 +17,8 @@
     -> std::string
 {
     return "{\"name\":\"r-" + host + "\",\"host\":\"" + host +
-           "\",\"prefix\":\"/8443/\",\"type\":\"idempotent\",\"timeoutMs\":4000,"
+           "\",\"prefix\":\"/8443/"
+           "\",\"type\":\"idempotent\",\"timeoutMs\":4000,"
            "\"targetLatencyMs\":250,\"priority\":2,\"service\":\"" +
            service + "\",\"maxAttempts\":2}";
 }
@@ -201,7 +202,8 @@
             }
         }
         sleep_ms(20);
-        if (served_from.size() == balancers.size() && now_ms() > owed_from + 500)
+        if (served_from.size() == balancers.size() &&
+            now_ms() > owed_from + 500)
         {
             break;
         }
