--- a/review/stand_ins/killed_at_once.cc
+++ b/review/stand_ins/killed_at_once.cc
@@ -12,7 +12,11 @@
 constexpr std::int64_t restart_delay_ms = 500;
 constexpr std::int64_t margin_ms = 100;
 constexpr int route_port = 8443;
-constexpr int flows = 24;
+constexpr int flows = 28;
+// As on a small deployment.
+constexpr int orders_agents = 7;
+constexpr int surveys_agents = 3;
+constexpr std::size_t seeds_max = 3;
 const std::string route_host = "198.18.0.1";
 
 struct open_flow
@@ -89,9 +93,10 @@
     record log(folder + "/record.txt");
     const std::string store_ip = "127.65.4.1";
     const std::string caller_ip = "127.65.3.1";
-    const std::vector<std::string> balancers = {"127.65.1.1", "127.65.1.2"};
+    const std::vector<std::string> balancers = {"127.65.1.1", "127.65.1.2",
+                                                "127.65.1.3", "127.65.1.4"};
     std::vector<std::string> agents;
-    for (int n = 1; n <= 5; ++n)
+    for (int n = 1; n <= orders_agents + surveys_agents; ++n)
     {
         agents.push_back("127.65.2." + std::to_string(n));
     }
@@ -116,9 +121,9 @@
         std::_Exit(code);
     };
     std::string seeds;
-    for (const auto& ip : balancers)
+    for (std::size_t n = 0; n < seeds_max; ++n)
     {
-        seeds += (seeds.empty() ? "" : ",") + ip + ":" +
+        seeds += (n > 0 ? "," : "") + balancers[n] + ":" +
                  std::to_string(used.control());
     }
     std::mutex mutex;
@@ -139,9 +144,8 @@
     }
     for (std::size_t n = 0; n < agents.size(); ++n)
     {
-        // The last one is the other service's.
         const std::string service =
-            n + 1 < agents.size() ? "orders" : "surveys";
+            n < std::size_t{orders_agents} ? "orders" : "surveys";
         programs.write_settings(name_of("agent", n), agents[n], seeds, service);
         programs.start(name_of("agent", n), true);
         servers.push_back(
@@ -217,13 +221,16 @@
     const auto killed_server = servers.front()->id();
     if (trouble)
     {
-        const std::vector<std::string> victims = {"balancer-1", "balancer-2",
-                                                  "agent-1"};
+        std::vector<std::string> victims = {"agent-1"};
+        for (std::size_t n = 0; n < balancers.size(); ++n)
+        {
+            victims.push_back(name_of("balancer", n));
+        }
         for (const auto& it : victims)
         {
             programs.signal(it, SIGKILL);
         }
-        log.line("disruption: SIGKILL to balancer-1, balancer-2 and agent-1");
+        log.line("disruption: SIGKILL to all balancers and to agent-1");
         for (const auto& it : victims)
         {
             programs.wait_end(it);
@@ -233,7 +240,7 @@
         {
             programs.start(it, it[0] == 'a');
         }
-        log.line("the three processes are started again");
+        log.line("these processes are started again");
     }
     sleep_ms(stable_window_ms + margin_ms);
     log.line("all machines are in touch; every flow asks again");
