--- a/review/stand_ins/killed_at_once.cc
+++ b/review/stand_ins/killed_at_once.cc
@@ -215,8 +215,9 @@
         list.push_back(it);
     }
     log.line("%d flows are open and have had an answer", flows);
-    // Late enough that an operator's day has begun; the flows stay idle for
-    // less than idleTimeoutMs.
+    // Half a second after the agents' messages that are sent every 10 s, so
+    // that the next ones are 9.5 s away (review/1/claim.txt tells what other
+    // moments give). The flows stay idle for less than idleTimeoutMs.
     sleep_ms(std::max<std::int64_t>(0, started_at + 10500 - now_ms()));
     const auto killed_server = servers.front()->id();
     if (trouble)
