Logs: messages of unknown members, and reads of the directory

Neither logs nor metrics told whether the survivors' messages do not arrive or are dropped. unknown_member_heard and member_directory_read tell; no decision changes.

Ruled out: that nothing arrives, and that records arrive and are refused.

--- a/modules/membership/member_view.cpp
+++ b/modules/membership/member_view.cpp
@@ -20,6 +20,20 @@
 // and all records are requested again.
 constexpr millis resync_after = seconds(10);
 
+// Minimum interval between log lines about messages of unknown members, which
+// all members may send at the same time after a restart of this process.
+constexpr millis unknown_sender_report_interval = milliseconds(200);
+
+auto kind_of(const control_message& message) -> std::string_view
+{
+    if (std::holds_alternative<gossip_message>(message.body))
+    {
+        return "gossip";
+    }
+    return std::holds_alternative<probe_message>(message.body) ? "probe"
+                                                               : "probe_ack";
+}
+
 } // namespace
 
 member_view::member_view(const member_record& self,
@@ -102,6 +116,7 @@
     {
         failure_.on_ack(now, std::get<probe_ack_message>(message.body));
     }
+    report_unknown_sender(now, message);
     notify_sender_of_its_state(now, message);
     return true;
 }
@@ -376,6 +391,22 @@
     last_heard_ = now;
 }
 
+auto member_view::report_unknown_sender(millis now,
+                                        const control_message& message) -> void
+{
+    if (find(message.from) != nullptr || now < next_unknown_sender_report_ ||
+        !hooks_.events)
+    {
+        return;
+    }
+    next_unknown_sender_report_ = now + unknown_sender_report_interval;
+    hooks_.events(event("unknown_member_heard")
+                      .with("id", message.from)
+                      .with("life", message.from_incarnation)
+                      .with("message", kind_of(message))
+                      .with("live", std::uint64_t{live().size()}));
+}
+
 auto member_view::is_isolated(millis now) const -> bool
 {
     const auto bound =
--- a/modules/membership/member_view.hpp
+++ b/modules/membership/member_view.hpp
@@ -137,6 +137,8 @@
         -> void;
     auto detect_pause(millis now) -> void;
     auto record_contact(millis now, member_id from) -> void;
+    auto report_unknown_sender(millis now, const control_message& message)
+        -> void;
     auto join(millis now) -> void;
     auto record_sync_answer(const endpoint& from) -> void;
     auto resynchronise() -> void;
@@ -159,6 +161,7 @@
     millis last_heard_;
     millis next_join_;
     millis next_forget_;
+    millis next_unknown_sender_report_;
     bool active_ = false;
     // The member asked last for all records, and how many answered so far.
     endpoint sync_target_;
--- a/modules/node/store/member_directory.cpp
+++ b/modules/node/store/member_directory.cpp
@@ -89,6 +89,7 @@
         }
         addresses.push_back(*address);
     }
+    report_read(*result, addresses.size());
     hooks_.on_addresses(addresses);
     if (settings_.publishes && !published_)
     {
@@ -125,6 +126,19 @@
                   });
 }
 
+auto member_directory::report_read(const store_range_result& result,
+                                   std::size_t others) const -> void
+{
+    if (hooks_.events)
+    {
+        hooks_.events(
+            event("member_directory_read")
+                .with("others", std::uint64_t{others})
+                .with("revision", static_cast<std::uint64_t>(result.revision))
+                .with("era", result.era));
+    }
+}
+
 auto member_directory::report_published(const store_commit_result& result) const
     -> void
 {
--- a/modules/node/store/member_directory.hpp
+++ b/modules/node/store/member_directory.hpp
@@ -62,6 +62,8 @@
     auto on_range(const absl::StatusOr<store_range_result>& result) -> void;
     auto publish() -> void;
     auto own_key() const -> std::string;
+    auto report_read(const store_range_result& result, std::size_t others) const
+        -> void;
     auto report_published(const store_commit_result& result) const -> void;
     auto report_failure(std::string_view operation, const absl::Status& error)
         -> void;
