Membership: a probe tells its sender's address, and an unknown sender is asked for its records

Callers of open flows were reset, or their packets went to other servers, after all balancers and some agents had been killed at once: for up to 10 s the restarted processes knew only each other, though the members that ran on probed them four times a second (unknown_member_heard). A probe of an unknown member could not even be answered.

A probe now carries the control address of its sender. A receiver without a record of the sender asks for its records there, at the interval of a joining member, up to eight times an address. Start addresses that become known later (the store's directory) are contacted in the same way. The field is optional: older processes ignore it, and one that is missing is as before.

--- a/modules/membership/gossip/gossiper.cpp
+++ b/modules/membership/gossip/gossiper.cpp
@@ -20,6 +20,14 @@
 // Share of anti-entropy messages sent to other data centres.
 constexpr double remote_anti_entropy_share = 0.25;
 
+// Number of requests to an address at which no member is known. Several, since
+// requests are lost, or arrive while the process there is restarting; a limited
+// number, since an address may be out of date.
+constexpr std::uint32_t contact_requests_max = 8;
+
+// Bound of the addresses kept, which may come from malformed messages.
+constexpr std::size_t contacts_max = 1024;
+
 // Records per message of a full copy, as a multiple of records_per_message.
 constexpr std::size_t snapshot_size_factor = 8;
 
@@ -61,10 +69,66 @@
         if (known == start_addresses_.end() && it != own().control_address)
         {
             start_addresses_.push_back(it);
+            contact(it);
         }
     }
 }
 
+auto gossiper::contact(const endpoint& address) -> void
+{
+    const auto known = std::any_of(contacts_.begin(), contacts_.end(),
+                                   [&](const contact_address& it)
+                                   {
+                                       return it.address == address;
+                                   });
+    if (!known && contacts_.size() < contacts_max &&
+        address != own().control_address && !is_address_of_live_member(address))
+    {
+        contacts_.push_back({address});
+    }
+}
+
+auto gossiper::is_address_of_live_member(const endpoint& address) const -> bool
+{
+    const auto all = members_.records();
+    return std::any_of(all.begin(), all.end(),
+                       [&](const member_record& it)
+                       {
+                           return is_live(it.state) &&
+                                  it.control_address == address;
+                       });
+}
+
+auto gossiper::contact_next_address() -> bool
+{
+    if (contacts_.empty())
+    {
+        return false;
+    }
+    next_contact_ = (next_contact_ + 1) % contacts_.size();
+    auto& it = contacts_[next_contact_];
+    const auto to = it.address;
+    if (++it.requests >= contact_requests_max)
+    {
+        contacts_.erase(contacts_.begin() +
+                        static_cast<std::ptrdiff_t>(next_contact_));
+    }
+    send_(to, gossip_message{{own()}, true});
+    return true;
+}
+
+auto gossiper::on_known(const member_record& record) -> void
+{
+    if (is_live(record.state) && !contacts_.empty())
+    {
+        std::erase_if(contacts_,
+                      [&](const contact_address& it)
+                      {
+                          return it.address == record.control_address;
+                      });
+    }
+}
+
 auto gossiper::queue(member_id id) -> void
 {
     changes_.add(id, sends_per_change());
--- a/modules/membership/gossip/gossiper.hpp
+++ b/modules/membership/gossip/gossiper.hpp
@@ -32,6 +32,16 @@
     // Adds start addresses; known ones are ignored.
     auto add_start_addresses(std::span<const endpoint> more) -> void;
 
+    // Notes an address at which an unknown member runs.
+    auto contact(const endpoint& address) -> void;
+
+    // Requests all records from the next address at which no live member is
+    // known. Returns false if there is none left to be asked.
+    auto contact_next_address() -> bool;
+
+    // Call for each new or changed record.
+    auto on_known(const member_record& record) -> void;
+
     // Queues the changed record of a member for gossip.
     auto queue(member_id id) -> void;
 
@@ -60,6 +70,13 @@
     auto is_relay() const -> bool;
 
 private:
+    // An address at which no live member is known.
+    struct contact_address
+    {
+        endpoint address;
+        std::uint32_t requests = 0;
+    };
+
     auto round() -> void;
     auto relay_round() -> void;
     auto anti_entropy_round() -> void;
@@ -71,6 +88,7 @@
     auto pick_random(std::span<const member_id> from) -> const member_record*;
     auto pick_remote_data_centre() -> std::string;
     auto pick_unreachable_address() -> endpoint;
+    auto is_address_of_live_member(const endpoint& address) const -> bool;
     auto sends_per_change() const -> send_counts;
     auto own() const -> const member_record&;
 
@@ -84,6 +102,8 @@
     member_rotation rotation_;
     std::size_t anti_entropy_index_ = 0;
     std::size_t next_start_address_ = 0;
+    std::vector<contact_address> contacts_;
+    std::size_t next_contact_ = 0;
     millis next_round_;
     millis next_anti_entropy_;
 };
--- a/modules/membership/member_view.cpp
+++ b/modules/membership/member_view.cpp
@@ -68,6 +68,17 @@
     gossiper_.add_start_addresses(more);
 }
 
+// A member that ran on while this process was restarted probes the former
+// incarnation, and is not known here. It is asked for its records.
+auto member_view::contact_unknown_sender(member_id from,
+                                         const endpoint& address) -> void
+{
+    if (find(from) == nullptr && !address.is_none())
+    {
+        gossiper_.contact(address);
+    }
+}
+
 auto member_view::send_to(const endpoint& to, control_body body) -> void
 {
     if (hooks_.send && !replaced_)
@@ -83,6 +94,10 @@
     {
         return false;
     }
+    if (auto* probe = std::get_if<probe_message>(&body))
+    {
+        probe->sender_address = self().control_address;
+    }
     send_to(record->control_address, std::move(body));
     return true;
 }
@@ -110,6 +125,7 @@
     }
     else if (const auto* probe = std::get_if<probe_message>(&message.body))
     {
+        contact_unknown_sender(message.from, probe->sender_address);
         failure_.on_probe(now, message.from, *probe);
     }
     else
@@ -307,6 +323,7 @@
         departed_at_.try_emplace(id, now);
     }
     failure_.on_changed(now, record);
+    gossiper_.on_known(record);
     report_change(record, result.before ? &*result.before : nullptr);
 }
 
@@ -433,16 +450,23 @@
 }
 
 // Requests all records until enough members have answered. A single answer is
-// not enough, since the first member asked may know little itself.
+// not enough, since the first member asked may know little itself. Addresses at
+// which no member is known are contacted besides: after a restart of many
+// members, those that answer first know only each other.
 auto member_view::join(millis now) -> void
 {
-    if (sync_answers_ >= settings_.join_answers || next_join_ > now)
+    if (next_join_ > now)
+    {
+        return;
+    }
+    const auto contacted = gossiper_.contact_next_address();
+    if (has_synchronised() && !contacted)
     {
         return;
     }
     const auto alone = is_alone();
     const auto request_count = alone ? settings_.join_requests_when_alone : 1;
-    for (std::uint32_t n = 0; n < request_count; ++n)
+    for (std::uint32_t n = 0; n < request_count && !has_synchronised(); ++n)
     {
         sync_target_ = gossiper_.request_all_records();
     }
--- a/modules/membership/member_view.hpp
+++ b/modules/membership/member_view.hpp
@@ -50,7 +50,9 @@
     member_view(const member_view&) = delete;
     auto operator=(const member_view&) -> member_view& = delete;
 
-    // Adds start addresses that became known after construction.
+    // Adds start addresses that became known after construction. Each at which
+    // no live member is known is asked for records a limited number of times,
+    // until a member there is known.
     auto add_start_addresses(std::span<const endpoint> more) -> void;
 
     // Handles gossip, probes and probe answers; returns false for other message
@@ -121,6 +123,8 @@
     auto change_self(Change change) -> void;
     auto on_gossip(millis now, const control_message& message,
                    const gossip_message& gossip) -> void;
+    auto contact_unknown_sender(member_id from, const endpoint& address)
+        -> void;
     auto address_of_sender(member_id from, const gossip_message& gossip) const
         -> endpoint;
     auto on_update(millis now, const member_record& update, bool gossip_further)
--- a/modules/wire/codec/control_decode.cpp
+++ b/modules/wire/codec/control_decode.cpp
@@ -148,7 +148,9 @@
 
 auto read(decode_guard& /*guard*/, const schema::probe& from) -> control_body
 {
-    return probe_message{from.sequence(), from.subject()};
+    const auto* sender = from.sender_address();
+    return probe_message{from.sequence(), from.subject(),
+                         sender == nullptr ? endpoint{} : from_schema(*sender)};
 }
 
 auto read(decode_guard& /*guard*/, const schema::probe_ack& from)
--- a/modules/wire/codec/control_encode.cpp
+++ b/modules/wire/codec/control_encode.cpp
@@ -134,9 +134,12 @@
 
 auto write(FlatBufferBuilder& out, const probe_message& message) -> encoded_body
 {
-    return {
-        schema::control_body::probe,
-        schema::Createprobe(out, message.sequence, message.subject).Union()};
+    const auto sender = to_schema(message.sender_address);
+    return {schema::control_body::probe,
+            schema::Createprobe(out, message.sequence, message.subject,
+                                message.sender_address.is_none() ? nullptr
+                                                                 : &sender)
+                .Union()};
 }
 
 auto write(FlatBufferBuilder& out, const probe_ack_message& message)
--- a/modules/wire/messages/control_message.hpp
+++ b/modules/wire/messages/control_message.hpp
@@ -25,10 +25,14 @@
 
 // Failure detection. subject is the member to be probed: the receiver itself,
 // or a third member that the receiver is to probe for the sender.
+// sender_address is the control address of the sender, for a receiver that has
+// started since and does not know the sender; none in messages of older
+// versions.
 struct probe_message
 {
     std::uint64_t sequence = 0;
     member_id subject = 0;
+    endpoint sender_address = {};
 
     auto operator==(const probe_message&) const -> bool = default;
 };
--- a/tests/support/control_samples.cpp
+++ b/tests/support/control_samples.cpp
@@ -54,7 +54,7 @@
 {
     const std::vector<control_body> bodies = {
         gossip_message{{make_member(), make_member()}, true},
-        probe_message{1, 2},
+        probe_message{1, 2, {3, 4}},
         probe_ack_message{3, 4},
         redirects_message{
             5, {{key, 6, 7, 8}, {key, 9, 10, 11}}, true, {12, 13}},
--- a/tests/unit/membership_failure_test.cpp
+++ b/tests/unit/membership_failure_test.cpp
@@ -274,3 +274,44 @@
         CHECK(it.fleet.declared_dead.size() == 1);
     }
 }
+
+// Guards against: after a kill of many processes, those that started again knew
+// only each other until the next anti-entropy message of a member that ran on,
+// up to 10 s later, and took its flows for lost.
+TEST_CASE("members that are restarted at once, start address included, learn "
+          "of those that ran on")
+{
+    constexpr std::uint32_t members = 12;
+    constexpr std::size_t restarted = 3;
+    // Members are calm, and must act correctly, this long after a disruption.
+    constexpr millis bound = seconds(4);
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        CAPTURE(seed);
+        membership_fleet fleet(seed, {});
+        for (std::uint32_t n = 0; n < members; ++n)
+        {
+            fleet.start(make_agent(n + 1, "orders"));
+        }
+        fleet.run(seconds(20) + seconds(static_cast<std::int64_t>(seed)));
+        REQUIRE(fleet.converged());
+        for (std::size_t n = 0; n < restarted; ++n)
+        {
+            fleet.stop(n);
+        }
+        fleet.run(milliseconds(500));
+        for (std::size_t n = 0; n < restarted; ++n)
+        {
+            auto record =
+                make_agent(static_cast<std::uint32_t>(n + 1), "orders");
+            record.incarnation = 2;
+            fleet.start(record, n);
+        }
+        CHECK(fleet.run_until(
+            [&]
+            {
+                return fleet.converged();
+            },
+            bound));
+    }
+}
