Packet agents: no flow counts as lost before every registered agent is accounted for

A restarted agent proved flows lost by the denials of the members that it knew, and took these for all members once it had run for 0.7 s (flow_lost denied_by=1 members=5 while nine agents ran on). Learning of the others sooner only moves the moment: the proof needs to know which agents there are.

The store's directory now lists the agents, too. Each process reads the list once, as it starts, and contacts every address at which it knows no member. A registered agent that is not known counts as departed, which blocks the proof for the lifetime of a flow; without the list nothing is proved. After a restore of the store the list counts as complete only once it has been written again: the registrar marks the era in which it is.

Tests fail without it: a flow is reset though the list was not read, and though a registered agent is not known.

--- a/bench/rig/packets/packet_fleet.cpp
+++ b/bench/rig/packets/packet_fleet.cpp
@@ -214,6 +214,7 @@
                                              make_hooks(index), events_.now());
     introduce(*it.members);
     announce(record);
+    it.core->on_registered_agents(events_.now(), registered_agents());
     const auto life = it.life;
     events_.after(first_heartbeat,
                   [this, index, life]
@@ -330,6 +331,19 @@
     }
 }
 
+auto packet_fleet::registered_agents() const -> std::vector<listed_agent>
+{
+    std::vector<listed_agent> out;
+    for (const auto& [id, record] : records_)
+    {
+        if (record.kind == member_kind::agent)
+        {
+            out.push_back({id, record.control_address});
+        }
+    }
+    return out;
+}
+
 auto packet_fleet::beat(std::size_t index) -> void
 {
     auto& agent = *agents_[index];
--- a/bench/rig/packets/packet_fleet.hpp
+++ b/bench/rig/packets/packet_fleet.hpp
@@ -102,6 +102,7 @@
     auto make_agent(std::size_t index) -> void;
     auto announce(const member_record& record) -> void;
     auto introduce(member_view& to) -> void;
+    auto registered_agents() const -> std::vector<listed_agent>;
     auto beat(std::size_t index) -> void;
     auto tick_agents() -> void;
     auto make_hooks(std::size_t agent_index) -> packet_hooks;
--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -111,6 +111,11 @@
     {
         core_.on_member_departed(now, record);
     };
+    out.on_registered_agents =
+        [this](millis now, std::span<const listed_agent> agents)
+    {
+        core_.on_registered_agents(now, agents);
+    };
     out.is_ready = [this]
     {
         return core_.server().is_known();
--- a/modules/io/daemons/packet_process.cpp
+++ b/modules/io/daemons/packet_process.cpp
@@ -192,7 +192,22 @@
                                {
                                    members_.add_start_addresses(found);
                                },
-                               loop_.log().sink()});
+                               loop_.log().sink(),
+                               [this](std::span<const listed_agent> agents)
+                               {
+                                   if (hooks_.on_registered_agents)
+                                   {
+                                       hooks_.on_registered_agents(clock::now(),
+                                                                   agents);
+                                   }
+                               }});
+    if (settings_.kind == member_kind::balancer)
+    {
+        agent_registrar_settings registration;
+        registration.departed_retention = settings_.flow_lifetime;
+        registrar_ = std::make_unique<agent_registrar>(
+            in, members_, std::move(registration), loop_.log().sink());
+    }
 }
 
 auto packet_process::on_store_restored() -> void
@@ -201,6 +216,10 @@
     {
         directory_->on_store_restored();
     }
+    if (registrar_ != nullptr)
+    {
+        registrar_->on_store_restored();
+    }
 }
 
 auto packet_process::tick(millis now) -> void
@@ -213,6 +232,10 @@
         {
             directory_->tick(now, members_.is_alone());
         }
+        if (registrar_ != nullptr && !loop_.is_stopping())
+        {
+            registrar_->tick(now);
+        }
     }
     if (now >= next_reload_)
     {
--- a/modules/io/daemons/packet_process.hpp
+++ b/modules/io/daemons/packet_process.hpp
@@ -8,6 +8,7 @@
 #include "io/http/metrics_text.hpp"
 #include "io/udp/udp_socket.hpp"
 #include "membership/membership.hpp"
+#include "node/store/agent_registrar.hpp"
 #include "node/store/member_directory.hpp"
 #include "packets/packets.hpp"
 
@@ -30,6 +31,9 @@
     std::function<void(const control_message&)> on_control;
     // An agent that departed before this process knew it; may be empty.
     std::function<void(millis now, const member_record&)> on_member_departed;
+    // All agents that are registered in the store; may be empty.
+    std::function<void(millis now, std::span<const listed_agent>)>
+        on_registered_agents;
     std::function<bool()> is_ready;
     std::function<void(metrics_text&)> metrics;
 };
@@ -62,7 +66,8 @@
     // needs besides.
     auto make_packet_hooks() -> packet_hooks;
 
-    // Looks for members in the store too, and, as a balancer, stands there.
+    // Looks for members in the store, too; a balancer publishes its own address
+    // there and registers the agents.
     auto use_directory(store& in) -> void;
 
     // The store has come back from an older copy of its data.
@@ -97,6 +102,8 @@
     http_server http_;
     member_view members_;
     std::unique_ptr<member_directory> directory_;
+    // Balancers only.
+    std::unique_ptr<agent_registrar> registrar_;
     packet_process_hooks hooks_;
     std::uint64_t bad_packets_ = 0;
     std::uint64_t bad_control_ = 0;
--- a/modules/node/store/member_directory.cpp
+++ b/modules/node/store/member_directory.cpp
@@ -19,7 +19,7 @@
 
 auto member_directory::own_key() const -> std::string
 {
-    return settings_.prefix + settings_.own_name;
+    return settings_.layout.balancer_key(settings_.own_name);
 }
 
 auto member_directory::tick(millis now, bool is_isolated) -> void
@@ -29,7 +29,7 @@
         return;
     }
     next_read_ = now + settings_.retry_interval;
-    if (!has_read_ || is_isolated)
+    if (!has_read_agents_ || is_isolated)
     {
         read();
     }
@@ -48,23 +48,22 @@
 auto member_directory::read() -> void
 {
     reading_ = true;
-    store_range request;
-    request.key = settings_.prefix;
-    request.range_end = prefix_end(settings_.prefix);
-    request.stale_ok = true;
-    store_.range(
-        request,
-        [this, alive = alive_](const absl::StatusOr<store_range_result>& result)
-        {
-            if (*alive)
-            {
-                on_range(result);
-            }
-        });
+    auto request = settings_.layout.all();
+    // Addresses may be seconds old; the list of agents must be complete.
+    request.stale_ok = has_read_agents_;
+    store_.range(request,
+                 [this, alive = alive_, is_current = !request.stale_ok](
+                     const absl::StatusOr<store_range_result>& result)
+                 {
+                     if (*alive)
+                     {
+                         on_range(result, is_current);
+                     }
+                 });
 }
 
 auto member_directory::on_range(
-    const absl::StatusOr<store_range_result>& result) -> void
+    const absl::StatusOr<store_range_result>& result, bool is_current) -> void
 {
     reading_ = false;
     if (!result.ok())
@@ -72,10 +71,13 @@
         report_failure("read", result.status());
         return;
     }
-    has_read_ = true;
     std::vector<endpoint> addresses;
     for (const auto& it : result->values)
     {
+        if (it.key == settings_.layout.era_key())
+        {
+            continue;
+        }
         const auto address = parse_endpoint(it.value);
         if (!address.ok())
         {
@@ -91,12 +93,50 @@
     }
     report_read(*result, addresses.size());
     hooks_.on_addresses(addresses);
+    if (is_current && !has_read_agents_)
+    {
+        read_agents(*result);
+    }
     if (settings_.publishes && !published_)
     {
         publish();
     }
 }
 
+// After a restore, entries may be missing until the registrar has written them
+// again and has said so.
+auto member_directory::read_agents(const store_range_result& result) -> void
+{
+    std::vector<listed_agent> agents;
+    auto is_complete = true;
+    for (const auto& it : result.values)
+    {
+        if (it.key == settings_.layout.era_key())
+        {
+            is_complete = it.value == std::to_string(result.era);
+            continue;
+        }
+        const auto name = settings_.layout.agent_of(it.key);
+        const auto address = parse_endpoint(it.value);
+        if (!name.empty() && address.ok())
+        {
+            agents.push_back({member_id_of(name), *address});
+        }
+    }
+    has_read_agents_ = is_complete;
+    if (hooks_.events)
+    {
+        hooks_.events(event("registered_agents_read")
+                          .with("agents", std::uint64_t{agents.size()})
+                          .with("complete", is_complete ? "yes" : "no")
+                          .with("era", result.era));
+    }
+    if (is_complete && hooks_.on_agents)
+    {
+        hooks_.on_agents(agents);
+    }
+}
+
 // Writes without a compare: only this member writes its key, and repeating the
 // write after a lost answer is idempotent.
 auto member_directory::publish() -> void
--- a/modules/node/store/member_directory.hpp
+++ b/modules/node/store/member_directory.hpp
@@ -1,7 +1,8 @@
 #ifndef BRIARDRUM_NODE_STORE_MEMBER_DIRECTORY_HPP
 #define BRIARDRUM_NODE_STORE_MEMBER_DIRECTORY_HPP
 
-#include "node/store/store.hpp"
+#include "membership/records/listed_agent.hpp"
+#include "node/store/member_directory_layout.hpp"
 
 #include <functional>
 #include <memory>
@@ -13,9 +14,7 @@
 
 struct member_directory_settings
 {
-    // Each key is this prefix followed by a member's name; its value is the
-    // member's control address.
-    std::string prefix = "briardrum/members/";
+    member_directory_layout layout;
     std::string own_name;
     endpoint own_address;
     // True in the few members that publish their address; the others only
@@ -31,12 +30,18 @@
     // Called with the control addresses of members; some may be outdated.
     std::function<void(std::span<const endpoint>)> on_addresses;
     event_sink events;
+    // Called with all registered agents, once it is certain that none is
+    // missing, as of the start of this process. May be empty.
+    std::function<void(std::span<const listed_agent>)> on_agents = nullptr;
 };
 
 // Bootstraps membership from the store, in addition to the start addresses in
-// the settings. The store keeps the last known addresses of some members. They
-// are read once at startup and again while no other member is known; gossip
-// maintains the membership itself.
+// the settings. The store keeps the last known addresses of the members. They
+// are read once at startup, and again while no other member is known or while
+// entries may be missing; gossip maintains the membership itself.
+//
+// Each balancer publishes its own address; those of the agents are written by
+// an agent_registrar.
 //
 // Call tick() about every 100 ms, and leave() when the process stops for good.
 class member_directory
@@ -59,7 +64,9 @@
 
 private:
     auto read() -> void;
-    auto on_range(const absl::StatusOr<store_range_result>& result) -> void;
+    auto on_range(const absl::StatusOr<store_range_result>& result,
+                  bool is_current) -> void;
+    auto read_agents(const store_range_result& result) -> void;
     auto publish() -> void;
     auto own_key() const -> std::string;
     auto report_read(const store_range_result& result, std::size_t others) const
@@ -74,7 +81,8 @@
     millis next_read_;
     bool reading_ = false;
     bool writing_ = false;
-    bool has_read_ = false;
+    // True once the registered agents have been read completely.
+    bool has_read_agents_ = false;
     bool published_ = false;
     // Set by a restore: only a write that began after it shows that the own
     // address is in the store, for reads may be seconds old.
--- a/modules/packets/agent/agent_census.cpp
+++ b/modules/packets/agent/agent_census.cpp
@@ -75,14 +75,29 @@
     if (record.state != member_state::left || may_hold_flows(record))
     {
         departed_.try_emplace(record.id,
-                              departed_agent{record.data_address, now});
+                              departed_agent{record.data_address.address, now});
+    }
+}
+
+auto agent_census::on_registered(millis now,
+                                 std::span<const listed_agent> agents) -> void
+{
+    has_registered_agents_ = true;
+    for (const auto& it : agents)
+    {
+        if (members_.find(it.id) == nullptr)
+        {
+            departed_.try_emplace(
+                it.id, departed_agent{it.control_address.address, now});
+        }
     }
 }
 
 auto agent_census::is_settled(millis now) const -> bool
 {
-    return now - started_at_ >= start_up_time && !members_.is_alone() &&
-           !members_.is_isolated(now) && now - changed_at_ >= settle_time;
+    return has_registered_agents_ && now - started_at_ >= start_up_time &&
+           !members_.is_alone() && !members_.is_isolated(now) &&
+           now - changed_at_ >= settle_time;
 }
 
 auto agent_census::on_reply(member_id from, std::uint64_t query,
@@ -157,7 +172,7 @@
     return now - it.since < flow_lifetime_ && !is_address_in_use(it.address);
 }
 
-auto agent_census::is_address_in_use(const endpoint& address) const -> bool
+auto agent_census::is_address_in_use(std::uint32_t address) const -> bool
 {
     const auto all = members_.records();
     return std::any_of(all.begin(), all.end(),
@@ -165,7 +180,7 @@
                        {
                            return record.kind == member_kind::agent &&
                                   is_live(record.state) &&
-                                  record.data_address == address;
+                                  record.data_address.address == address;
                        });
 }
 
--- a/modules/packets/agent/agent_census.hpp
+++ b/modules/packets/agent/agent_census.hpp
@@ -2,8 +2,10 @@
 #define BRIARDRUM_PACKETS_AGENT_AGENT_CENSUS_HPP
 
 #include "membership/membership.hpp"
+#include "membership/records/listed_agent.hpp"
 
 #include <map>
+#include <span>
 #include <unordered_map>
 
 namespace briardrum
@@ -16,7 +18,11 @@
 // the agents that its sender knows. The census is complete for a query once
 // every live balancer, and every live agent with a server, has replied to it,
 // or to a later one, with the digest of this process, and no agent has departed
-// whose server may live on.
+// whose server may live on. The members that a process knows are not all that
+// there are: after a restart of many processes, those that started again may
+// know only each other. So the census is never complete before the agents that
+// were registered in the store have been read, and each of them that is not
+// known counts as departed.
 class agent_census
 {
 public:
@@ -44,13 +50,19 @@
     // Follows changes of the members. Call on each tick.
     auto refresh(millis now) -> void;
 
-    // Returns true if this process is likely to know all members: it has run
-    // for some time, is in contact with others, and its view does not change.
+    // Returns true if this process is likely to know all members: it has read
+    // the registered agents, has run for some time, is in contact with others,
+    // and its view does not change.
     auto is_settled(millis now) const -> bool;
 
     auto on_reply(member_id from, std::uint64_t query, std::uint64_t digest)
         -> void;
 
+    // Call with all agents that were registered in the store after this process
+    // started.
+    auto on_registered(millis now, std::span<const listed_agent> agents)
+        -> void;
+
     // Call for an agent that departed before this process knew it.
     auto on_departed(millis now, const member_record& record) -> void;
 
@@ -78,20 +90,22 @@
 
     struct departed_agent
     {
-        endpoint address;
+        // The address of its VM, which has one agent.
+        std::uint32_t address = 0;
         millis since;
     };
 
     auto forget_unknown(millis now) -> void;
     auto agreed_query(member_id id) const -> std::uint64_t;
     auto is_of_concern(millis now, const departed_agent& it) const -> bool;
-    auto is_address_in_use(const endpoint& address) const -> bool;
+    auto is_address_in_use(std::uint32_t address) const -> bool;
 
     const member_view& members_;
     millis flow_lifetime_;
     millis started_at_;
     std::unordered_map<member_id, reply> replies_;
     std::map<member_id, departed_agent> departed_;
+    bool has_registered_agents_ = false;
     std::uint64_t epoch_ = 0;
     std::uint64_t digest_ = 0;
     millis changed_at_;
--- a/modules/packets/agent/lost_flow_detector.cpp
+++ b/modules/packets/agent/lost_flow_detector.cpp
@@ -54,6 +54,13 @@
     has_news_ = true;
 }
 
+auto lost_flow_detector::on_registered(millis now,
+                                       std::span<const listed_agent> agents)
+    -> void
+{
+    census_.on_registered(now, agents);
+}
+
 auto lost_flow_detector::on_departed(millis now, const member_record& record)
     -> void
 {
--- a/modules/packets/agent/lost_flow_detector.hpp
+++ b/modules/packets/agent/lost_flow_detector.hpp
@@ -5,6 +5,7 @@
 #include "packets/model/flow_packet.hpp"
 
 #include <functional>
+#include <span>
 #include <vector>
 
 namespace briardrum
@@ -90,6 +91,11 @@
     auto on_reply(millis now, member_id from, const flow_reply_message& reply)
         -> void;
 
+    // Call with the agents that were registered in the store after this process
+    // started; without them no flow is considered lost.
+    auto on_registered(millis now, std::span<const listed_agent> agents)
+        -> void;
+
     // Call for an agent that departed before this process knew it.
     auto on_departed(millis now, const member_record& record) -> void;
 
--- a/modules/packets/agent/owner_locator.cpp
+++ b/modules/packets/agent/owner_locator.cpp
@@ -150,6 +150,12 @@
     lost_flows_.forget(flow);
 }
 
+auto owner_locator::on_registered(millis now,
+                                  std::span<const listed_agent> agents) -> void
+{
+    lost_flows_.on_registered(now, agents);
+}
+
 auto owner_locator::on_departed(millis now, const member_record& record) -> void
 {
     lost_flows_.on_departed(now, record);
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -86,6 +86,13 @@
     locator_.on_departed(now, record);
 }
 
+auto packet_agent::on_registered_agents(millis now,
+                                        std::span<const listed_agent> agents)
+    -> void
+{
+    locator_.on_registered(now, agents);
+}
+
 auto packet_agent::on_heartbeat(millis now, const server_heartbeat& heartbeat)
     -> heartbeat_outcome
 {
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -42,6 +42,10 @@
     // other message.
     auto on_control(millis now, const control_message& message) -> void;
 
+    // Call once the agents that are registered in the store have been read.
+    auto on_registered_agents(millis now, std::span<const listed_agent> agents)
+        -> void;
+
     // Call for an agent that departed before this process knew it.
     auto on_member_departed(millis now, const member_record& record) -> void;
 
--- a/tests/unit/lost_flow_test.cpp
+++ b/tests/unit/lost_flow_test.cpp
@@ -22,6 +22,7 @@
 {
     explicit lost_flow_fixture(std::size_t others = 2) : agent_fixture(others)
     {
+        core->on_registered_agents(now, {});
         heartbeat(1);
         advance_time(settled);
     }
@@ -231,6 +232,69 @@
     }
 }
 
+// Guards against: after a kill of many processes, an agent that had started
+// again took the members that it knew for all members, and reset open flows of
+// agents that ran on.
+TEST_CASE("a flow is not reset before the registered agents have been read")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.advance_time(settled);
+    it.receive_from_balancer(it.data(port, request_bytes));
+    it.advance_time(until_query);
+    it.deny_queries(1);
+    it.deny_queries(2);
+    it.advance_time(seconds(1));
+    CHECK(it.resets.empty());
+
+    it.core->on_registered_agents(it.now, {});
+    it.deny_queries(1);
+    it.deny_queries(2);
+    it.advance_time(milliseconds(20));
+    CHECK(it.resets.size() == 1);
+}
+
+TEST_CASE("a flow is not reset while a registered agent is not known")
+{
+    agent_fixture it;
+    const auto unknown = it.record_of(4);
+    const std::vector<listed_agent> registered = {
+        {it.record_of(1).id, it.record_of(1).control_address},
+        {unknown.id, unknown.control_address}};
+    it.core->on_registered_agents(it.now, registered);
+    it.heartbeat(1);
+    it.advance_time(settled);
+    it.receive_from_balancer(it.data(port, request_bytes));
+    it.advance_time(until_query);
+    it.deny_queries(1);
+    it.deny_queries(2);
+    it.advance_time(seconds(1));
+    CHECK(it.resets.empty());
+
+    SUBCASE("it becomes known and denies the flow")
+    {
+        it.announce(unknown);
+        it.advance_time(seconds(1));
+        it.deny_queries(1);
+        it.deny_queries(2);
+        it.advance_time(milliseconds(20));
+        CHECK(it.resets.empty());
+        it.deny_queries(4);
+        it.advance_time(milliseconds(20));
+        CHECK(it.resets.size() == 1);
+    }
+    SUBCASE("no flow of it can be left")
+    {
+        it.advance_time(seconds(60));
+        it.receive_from_balancer(it.data(port, request_bytes));
+        it.advance_time(until_query);
+        it.deny_queries(1);
+        it.deny_queries(2);
+        it.advance_time(milliseconds(20));
+        CHECK(it.resets.size() == 1);
+    }
+}
+
 TEST_CASE("an agent that left without a server holds no flows")
 {
     lost_flow_fixture it;
@@ -302,6 +366,7 @@
 TEST_CASE("a restarted agent resets a flow only if its server returns a packet")
 {
     agent_fixture it;
+    it.core->on_registered_agents(it.now, {});
     it.heartbeat(9);
     it.advance_time(settled);
     const auto request = it.data(port, request_bytes);
