Logs: each failed call to the store, and the connection that it used

The log had store_lost once and nothing of later failures, so that a watch that waits too long, a read on another silent connection and the delay between attempts looked alike. No decision changes.

Ruled out: a value that arrived and was refused.

--- a/modules/io/http/http_client.cpp
+++ b/modules/io/http/http_client.cpp
@@ -51,10 +51,14 @@
     {
     }
 
-    auto call(std::string bytes, millis timeout, callback done) -> void
+    auto call(std::string bytes, const std::string& target, millis timeout,
+              callback done) -> void
     {
         out_ = std::move(bytes);
         done_ = std::move(done);
+        target_ = target;
+        called_at_ = clock::now();
+        kept_ = socket_.is_open();
         sent_ = false;
         complete_ = false;
         timer_.expires_after(std::chrono::milliseconds(timeout.count));
@@ -169,16 +173,36 @@
         owner_.forget(self);
         if (done)
         {
+            report_failure(why);
             done(make_error(kind, to_string(owner_.server_) + ": " + why));
         }
     }
 
+    auto report_failure(const std::string& why) const -> void
+    {
+        if (owner_.events_)
+        {
+            const auto waited = clock::now() - called_at_;
+            owner_.events_(
+                event("http_call_failed", event_level::warning)
+                    .with("server", to_string(owner_.server_))
+                    .with("target", target_)
+                    .with("connection", kept_ ? "kept" : "new")
+                    .with("waited_ms", static_cast<std::uint64_t>(waited.count))
+                    .with("why", why));
+        }
+    }
+
     http_client& owner_;
     tcp::socket socket_;
     asio::steady_timer timer_;
     http_reader reader_;
     std::array<std::uint8_t, read_bytes> bytes_{};
     std::string out_;
+    std::string target_;
+    millis called_at_;
+    // True if the connection was open before the call.
+    bool kept_ = false;
     callback done_;
     http_response response_;
     bool sent_ = false;
@@ -186,8 +210,9 @@
     bool keep_alive_ = false;
 };
 
-http_client::http_client(asio::io_context& context, const endpoint& server)
-    : context_(context), server_(server)
+http_client::http_client(asio::io_context& context, const endpoint& server,
+                         event_sink events)
+    : context_(context), server_(server), events_(std::move(events))
 {
 }
 
@@ -200,7 +225,8 @@
                        callback done) -> void
 {
     const auto item = take_connection();
-    item->call(write_request(request, server_), timeout, std::move(done));
+    item->call(write_request(request, server_), request.target, timeout,
+               std::move(done));
 }
 
 auto http_client::take_connection() -> std::shared_ptr<connection>
--- a/modules/io/http/http_client.hpp
+++ b/modules/io/http/http_client.hpp
@@ -27,7 +27,9 @@
     static constexpr std::size_t idle_connections_max = 2;
     static constexpr std::size_t body_bytes_max = std::size_t{4} << 20U;
 
-    http_client(asio::io_context& context, const endpoint& server);
+    // Each call that fails is logged to events, which may be empty.
+    http_client(asio::io_context& context, const endpoint& server,
+                event_sink events = nullptr);
     ~http_client();
     http_client(const http_client&) = delete;
     auto operator=(const http_client&) -> http_client& = delete;
@@ -50,6 +52,7 @@
 
     asio::io_context& context_;
     endpoint server_;
+    event_sink events_;
     std::vector<std::shared_ptr<connection>> idle_;
     std::vector<std::shared_ptr<connection>> used_;
 };
