Store client: a silent watch is noticed within the time in which a configuration must be in force

- A call that misses its deadline closes the connections that are kept for later calls.
- A watch that ends is followed by a read at once, if the last read was longer ago than the interval between attempts.

Tests (http, document watch, platform) fail without each part.

--- a/modules/io/daemons/packet_process_settings.hpp
+++ b/modules/io/daemons/packet_process_settings.hpp
@@ -31,6 +31,9 @@
     // Membership addresses of a few members; some may be stale.
     std::vector<endpoint> start_addresses;
     endpoint store;
+    // Time after its acknowledgement by the store in which a configuration must
+    // be in force.
+    millis configuration_deadline = seconds(3);
     event_level log_level = event_level::info;
     millis stop_bound = seconds(5);
 
--- a/modules/io/http/http_client.cpp
+++ b/modules/io/http/http_client.cpp
@@ -67,6 +67,7 @@
             {
                 if (!ec)
                 {
+                    it->owner_.close_idle_connections();
                     it->fail("no answer in time");
                 }
             });
@@ -260,18 +261,23 @@
     std::erase(idle_, item);
 }
 
-auto http_client::close() -> void
+auto http_client::close_idle_connections() -> void
 {
-    for (const auto& it : used_)
+    for (const auto& it : idle_)
     {
         it->close();
     }
-    for (const auto& it : idle_)
+    idle_.clear();
+}
+
+auto http_client::close() -> void
+{
+    for (const auto& it : used_)
     {
         it->close();
     }
     used_.clear();
-    idle_.clear();
+    close_idle_connections();
 }
 
 } // namespace briardrum
--- a/modules/io/http/http_client.hpp
+++ b/modules/io/http/http_client.hpp
@@ -16,8 +16,8 @@
 // Makes HTTP/1.1 calls to one server, on the thread that runs the context.
 //
 // Each call has a deadline of its own, for a connection may go silent without
-// an error; one that missed a deadline is not used again. Connections are
-// kept for later calls.
+// an error. One that missed a deadline is not used again, and neither are those
+// that are kept for later calls then: what silences one silences all.
 class http_client
 {
 public:
@@ -49,6 +49,7 @@
     auto take_connection() -> std::shared_ptr<connection>;
     auto keep(const std::shared_ptr<connection>& item) -> void;
     auto forget(const std::shared_ptr<connection>& item) -> void;
+    auto close_idle_connections() -> void;
 
     asio::io_context& context_;
     endpoint server_;
--- a/modules/node/store/document_watch.cpp
+++ b/modules/node/store/document_watch.cpp
@@ -102,7 +102,9 @@
 {
     if (!batch.ok())
     {
-        schedule_retry(batch.status());
+        // A change may have been missed since the watch went silent.
+        report_loss(batch.status());
+        read_again();
         return;
     }
     const auto is_other_history = batch->era != era();
@@ -222,7 +224,7 @@
     loss_reported_ = false;
 }
 
-auto document_watch::schedule_retry(const absl::Status& error) -> void
+auto document_watch::report_loss(const absl::Status& error) -> void
 {
     if (!std::exchange(loss_reported_, true) && hooks_.events)
     {
@@ -231,6 +233,11 @@
                           .with("why", std::string(error.message())));
     }
     connected_ = false;
+}
+
+auto document_watch::schedule_retry(const absl::Status& error) -> void
+{
+    report_loss(error);
     state_ = connection_state::waiting;
     const auto half_delay = backoff_ / 2;
     const auto jitter = static_cast<std::int64_t>(
--- a/modules/node/store/document_watch.hpp
+++ b/modules/node/store/document_watch.hpp
@@ -78,6 +78,7 @@
     auto update_era(store_era era, store_revision revision) -> void;
     auto read_again() -> void;
     auto mark_connected(store_revision revision) -> void;
+    auto report_loss(const absl::Status& error) -> void;
     auto schedule_retry(const absl::Status& error) -> void;
 
     store& store_;
@@ -90,8 +91,8 @@
     millis backoff_;
     store_position position_;
     store_revision watch_start_revision_ = 0;
-    // When a watch loses its history the key is read at once, but not before
-    // this time.
+    // When a watch ends or loses its history the key is read at once, but not
+    // before this time.
     millis next_immediate_read_;
     // Nothing until the first answer.
     std::optional<store_era> era_;
--- a/stand_ins/store/virtual_store.cpp
+++ b/stand_ins/store/virtual_store.cpp
@@ -148,6 +148,18 @@
     watches_.erase(id);
 }
 
+auto virtual_store::end_watches() -> void
+{
+    for (const auto& [id, item] : std::exchange(watches_, {}))
+    {
+        later(millis{},
+              [next = item.next]
+              {
+                  next(make_error(error_kind::unavailable, "no answer"));
+              });
+    }
+}
+
 auto virtual_store::collect_events(const open_watch& item) const
     -> store_watch_batch
 {
--- a/stand_ins/store/virtual_store.hpp
+++ b/stand_ins/store/virtual_store.hpp
@@ -35,6 +35,9 @@
     std::uint64_t calls = 0;
     std::uint64_t ranges = 0;
 
+    // Open watches end with an error, as when their connections went silent.
+    auto end_watches() -> void;
+
     // Runs what is due.
     auto run(millis now) -> void;
 
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -143,6 +143,141 @@
     CHECK(answers == std::vector<std::string>{"yes", "yes"});
 }
 
+namespace
+{
+
+// Answers every request with "yes". Connections that are open when
+// silence_open_connections() is called get no answers from then on and are not
+// closed.
+class silenceable_server
+{
+public:
+    explicit silenceable_server(asio::io_context& context)
+        : acceptor_(context, {asio::ip::address_v4(loopback.address), 0})
+    {
+        accept();
+    }
+
+    auto address() const -> endpoint
+    {
+        return {loopback.address, acceptor_.local_endpoint().port()};
+    }
+
+    auto silence_open_connections() -> void
+    {
+        silent_ = connections_.size();
+    }
+
+    auto connections() const -> std::size_t
+    {
+        return connections_.size();
+    }
+
+    auto close() -> void
+    {
+        acceptor_.close();
+        for (const auto& it : connections_)
+        {
+            it->close();
+        }
+    }
+
+private:
+    auto accept() -> void
+    {
+        acceptor_.async_accept(
+            [this](const asio::error_code& ec, asio::ip::tcp::socket socket)
+            {
+                if (!ec)
+                {
+                    connections_.push_back(
+                        std::make_unique<asio::ip::tcp::socket>(
+                            std::move(socket)));
+                    read(connections_.size() - 1);
+                    accept();
+                }
+            });
+    }
+
+    auto read(std::size_t index) -> void
+    {
+        const auto buf = std::make_shared<std::array<char, 1000>>();
+        connections_[index]->async_read_some(
+            asio::buffer(*buf),
+            [this, index, buf](const asio::error_code& ec, std::size_t)
+            {
+                if (ec || index < silent_)
+                {
+                    return;
+                }
+                const std::string_view answer =
+                    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes";
+                asio::error_code ignored;
+                asio::write(*connections_[index], asio::buffer(answer),
+                            ignored);
+                read(index);
+            });
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> connections_;
+    std::size_t silent_ = 0;
+};
+
+} // namespace
+
+// Guards against: after the connections to the store had gone silent, the call
+// that followed a missed deadline used another silent connection, and a
+// configuration came into force too late.
+TEST_CASE("after a call that missed its deadline no kept connection is used")
+{
+    asio::io_context context;
+    silenceable_server server(context);
+    std::vector<std::string> events;
+    http_client client(context, server.address(),
+                       [&](const event& it)
+                       {
+                           events.push_back(it.line());
+                       });
+    const auto call = [&](millis timeout, const http_client::callback& done)
+    {
+        client.call({"GET", "/", ""}, timeout, done);
+    };
+    absl::StatusOr<http_response> last;
+    const auto ask_again = [&](const absl::StatusOr<http_response>& silent)
+    {
+        CHECK_FALSE(silent.ok());
+        call(seconds(2),
+             [&](const absl::StatusOr<http_response>& response)
+             {
+                 last = response;
+                 client.close();
+                 server.close();
+             });
+    };
+    int answered = 0;
+    for (std::size_t n = 0; n < http_client::idle_connections_max; ++n)
+    {
+        call(seconds(20),
+             [&](const absl::StatusOr<http_response>& response)
+             {
+                 CHECK(response.ok());
+                 if (++answered ==
+                     static_cast<int>(http_client::idle_connections_max))
+                 {
+                     server.silence_open_connections();
+                     call(milliseconds(50), ask_again);
+                 }
+             });
+    }
+    context.run();
+    REQUIRE(last.ok());
+    CHECK(last->body == "yes");
+    CHECK(server.connections() == http_client::idle_connections_max + 1);
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].find("connection=kept") != std::string::npos);
+}
+
 TEST_CASE("a log whose reader stands still drops lines and never waits")
 {
     int ends[2] = {};
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -206,6 +206,30 @@
     CHECK(balancer.ok());
 }
 
+// Guards against: a watch whose connection has gone silent was given up only
+// after the time in which a configuration must take effect.
+TEST_CASE("a silent watch is noticed early enough to read the configuration")
+{
+    using platform::key_value_store;
+    for (const auto deadline :
+         {seconds(1), seconds(2), seconds(3), seconds(5), seconds(6)})
+    {
+        CAPTURE(deadline.count);
+        const auto noticed = platform::watch_wait_for(deadline) +
+                             key_value_store::watch_response_margin;
+        CHECK(noticed + key_value_store::reread_reserve <= deadline);
+    }
+    CHECK(platform::watch_wait_for(millis{}) ==
+          key_value_store::watch_wait_min);
+    CHECK(platform::watch_wait_for(minutes(5)) ==
+          key_value_store::watch_wait_max);
+    auto text = std::string(settings_text) + "bounds.configApplyMs=5000\n";
+    const auto it =
+        platform::parse_settings(text, member_kind::balancer, "s.conf");
+    REQUIRE(it.ok());
+    CHECK(it->configuration_deadline == seconds(5));
+}
+
 TEST_CASE("the operator configuration is parsed into a route table")
 {
     const auto it = platform::read_configuration(
--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -107,6 +107,23 @@
     CHECK(it.received == std::vector<std::string>{"one", "two"});
 }
 
+// Guards against: after a watch had gone silent, the key was read only after a
+// delay, and a configuration came into force too late.
+TEST_CASE("a document is read at once when its watch ends")
+{
+    document_watch_fixture it;
+    it.put("one");
+    it.run(seconds(1));
+    it.client.silent_watches = true;
+    it.put("two");
+    it.run(seconds(1));
+    REQUIRE(it.received.back() == "one");
+    it.client.end_watches();
+    // The watch ends in the first step, and the answer arrives in the second.
+    it.run(tick_interval * 2);
+    CHECK(it.received.back() == "two");
+}
+
 // Guards against: after a restore, configurations that the operators had
 // confirmed never came into force, since their revisions had been given out
 // before.
