Odd heartbeats and store entries of another writer: the real server stays heard

Report of other operators: one odd entry among those of the servers, very deeply nested, with a number too large or a port out of range, ended the readers again and again or stopped them from following the list.

Looked for here, each with a test: - Deep nesting (up to the limit of a body), numbers beyond 64 bits or with an exponent, ports and octets out of range: no process ends, the heartbeat is refused. Not a fault, tests added. - A well-formed heartbeat with a sequence number of 2^53: every later one of the real server counted as late, and that it drains was acknowledged and ignored.

Five tests failed before the change: sequence number, draining, older server, large numbers, unreadable value. The check of the start time came with its test and was not seen to fail.

--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -167,15 +167,14 @@
 auto packet_agent_daemon::answer_heartbeat(const server_heartbeat& heartbeat)
     -> http_response
 {
-    if (heartbeat.address != settings_.server)
+    const auto status =
+        check_heartbeat(heartbeat, settings_.server, clock::wall());
+    if (!status.ok())
     {
         ++bad_heartbeats_;
-        process_.events()(
-            event("heartbeat_refused", event_level::warning)
-                .with("server", heartbeat.server_id)
-                .with("address", to_string(heartbeat.address))
-                .with("expected", to_string(settings_.server))
-                .with("why", "the server is not the one beside this agent"));
+        process_.events()(event("heartbeat_refused", event_level::warning)
+                              .with("server", heartbeat.server_id)
+                              .with("why", std::string(status.message())));
         return {http_bad_request, "text/plain", ""};
     }
     const auto outcome = core_.on_heartbeat(clock::now(), heartbeat);
--- a/modules/packets/agent/local_server.cpp
+++ b/modules/packets/agent/local_server.cpp
@@ -46,30 +46,17 @@
         {
             return heartbeat_outcome::outdated;
         }
-        if (same && heartbeat.sequence <= last_heartbeat_->sequence)
-        {
-            return heartbeat_outcome::late;
-        }
         if (same)
         {
-            const auto changed =
-                last_heartbeat_->draining != heartbeat.draining ||
-                last_heartbeat_->slots != heartbeat.slots ||
-                service_name_ != heartbeat.service_name;
-            last_heartbeat_ = heartbeat;
-            service_name_ = heartbeat.service_name;
-            last_heartbeat_at_ = now;
-            last_heard_at_ = now;
-            absent_ = false;
-            return changed ? heartbeat_outcome::changed
-                           : heartbeat_outcome::renewed;
+            return on_same_incarnation(now, heartbeat);
         }
     }
     const auto first = !last_heartbeat_.has_value();
     // The first heartbeat of an incarnation has at most the sequence number 1.
     // A server that started after this VM was found to have none is younger
     // than the agent, too.
-    predates_agent_ = first && heartbeat.sequence > 1 && !absent_;
+    predates_agent_ = heartbeat.sequence > 1 && !absent_;
+    lower_sequences_.reset();
     absent_ = false;
     last_heartbeat_ = heartbeat;
     service_name_ = heartbeat.service_name;
@@ -80,6 +67,54 @@
     return first ? heartbeat_outcome::changed : heartbeat_outcome::replaced;
 }
 
+auto local_server::on_same_incarnation(millis now,
+                                       const server_heartbeat& heartbeat)
+    -> heartbeat_outcome
+{
+    const auto in_order = heartbeat.sequence > last_heartbeat_->sequence;
+    const auto restarted =
+        !in_order && is_sequence_restarted(now, heartbeat.sequence);
+    if (!in_order && !restarted)
+    {
+        // A server that drains does so until it leaves.
+        const auto drains = heartbeat.draining && !last_heartbeat_->draining;
+        last_heartbeat_->draining |= heartbeat.draining;
+        return drains ? heartbeat_outcome::changed : heartbeat_outcome::late;
+    }
+    const auto changed = restarted ||
+                         last_heartbeat_->draining != heartbeat.draining ||
+                         last_heartbeat_->slots != heartbeat.slots ||
+                         service_name_ != heartbeat.service_name;
+    last_heartbeat_ = heartbeat;
+    service_name_ = heartbeat.service_name;
+    last_heartbeat_at_ = now;
+    last_heard_at_ = now;
+    lower_sequences_.reset();
+    absent_ = false;
+    return changed ? heartbeat_outcome::changed : heartbeat_outcome::renewed;
+}
+
+// A heartbeat with a sequence number far ahead may come from another writer.
+// The server's own numbers are lower, but go on rising for as long as it lives;
+// delayed heartbeats arrive together, or between later ones.
+auto local_server::is_sequence_restarted(millis now, std::uint64_t sequence)
+    -> bool
+{
+    const auto continues = lower_sequences_.has_value() &&
+                           sequence > lower_sequences_->last &&
+                           now - lower_sequences_->last_at <=
+                               heartbeat_interval_ * heartbeats_missed_max;
+    if (!continues)
+    {
+        lower_sequences_ = {sequence, now, now};
+        return false;
+    }
+    lower_sequences_->last = sequence;
+    lower_sequences_->last_at = now;
+    return now - lower_sequences_->since >=
+           heartbeat_interval_ * intervals_until_restarted;
+}
+
 auto local_server::on_leave(millis, const std::string& server_id) -> bool
 {
     if (!last_heartbeat_.has_value() || last_heartbeat_->server_id != server_id)
--- a/modules/packets/agent/local_server.hpp
+++ b/modules/packets/agent/local_server.hpp
@@ -34,6 +34,9 @@
     // Missed heartbeats after which a server that sends no packets either is
     // considered gone: one may be lost, and one may be late.
     static constexpr int heartbeats_missed_max = 3;
+    // After this many intervals of heartbeats with rising sequence numbers that
+    // are all lower than that of the last one, the last one was false.
+    static constexpr int intervals_until_restarted = 2;
     // An opening packet is delivered and answered within the VM; this is far
     // above the slowest answer of a live server.
     static constexpr millis opening_answer_timeout = milliseconds(150);
@@ -107,9 +110,23 @@
     auto incarnation_started() const -> millis;
 
 private:
+    // Heartbeats that were taken for late, one after the other.
+    struct lower_sequences
+    {
+        std::uint64_t last = 0;
+        millis since;
+        millis last_at;
+    };
+
+    auto on_same_incarnation(millis now, const server_heartbeat& heartbeat)
+        -> heartbeat_outcome;
+    auto is_sequence_restarted(millis now, std::uint64_t sequence) -> bool;
+
     std::string service_name_;
     millis heartbeat_interval_;
     std::optional<server_heartbeat> last_heartbeat_;
+    // Empty after each heartbeat that counted.
+    std::optional<lower_sequences> lower_sequences_;
     millis last_heard_at_;
     millis last_heartbeat_at_;
     // Time at which the oldest unanswered opening packet was sent; empty if
--- a/modules/packets/agent/server_heartbeat.hpp
+++ b/modules/packets/agent/server_heartbeat.hpp
@@ -3,6 +3,7 @@
 
 #include "core/core.hpp"
 
+#include <absl/status/status.h>
 #include <string>
 
 namespace briardrum
@@ -28,6 +29,12 @@
     millis started_at;
 };
 
+// Returns error_kind::malformed for a heartbeat that cannot be of the server
+// beside this agent: it names another address than the server's, or a start
+// time that is further ahead of the wall time than clocks differ.
+auto check_heartbeat(const server_heartbeat& heartbeat, const endpoint& server,
+                     millis wall_time) -> absl::Status;
+
 } // namespace briardrum
 
 #endif
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -1,3 +1,4 @@
+#include "io/http/http_server.hpp"
 #include "platform/platform.hpp"
 #include "platform/store_responses.hpp"
 
@@ -317,6 +318,100 @@
     CHECK(error_kind_of(nested.status()) == error_kind::not_found);
 }
 
+// Guards against: one odd entry of another writer ends the process that reads
+// it, or keeps it from reading the others.
+TEST_CASE(
+    "odd heartbeats are malformed: deep nesting, numbers too large, ports "
+    "out of range")
+{
+    const auto error_of = [](const std::string& body)
+    {
+        return error_kind_of(
+            platform::parse_server_request(heartbeat_request(body)).status());
+    };
+    constexpr std::size_t depth = http_server::body_bytes_max;
+    CHECK(error_of(std::string(depth, '[')) == error_kind::malformed);
+    CHECK(error_of(std::string(depth / 2, '[') + std::string(depth / 2, ']')) ==
+          error_kind::malformed);
+    std::string objects;
+    for (std::size_t n = 0; n < depth / 8; ++n)
+    {
+        objects += "{\"a\":";
+    }
+    objects += "1" + std::string(depth / 8, '}');
+    CHECK(error_of(objects) == error_kind::malformed);
+    for (const auto* field :
+         {"\"service\":\"svc1\"", "\"slots\":3", "\"born\":1700000000000"})
+    {
+        const auto name =
+            std::string(field).substr(0, std::string(field).find(':') + 1);
+        CHECK(error_of(with_replacement(field, name + objects)) ==
+              error_kind::malformed);
+    }
+    // A field that is not known does no harm.
+    CHECK(platform::parse_server_request(
+              heartbeat_request(with_replacement(
+                  "\"slots\":3", "\"slots\":3,\"extra\":" + objects)))
+              .ok());
+
+    for (const auto* number :
+         {"1e999", "-1e999", "1e400", "18446744073709551616",
+          "18446744073709551615", "9223372036854775808", "9007199254740992",
+          "99999999999999999999999999999999999999", "-1", "4.5", "null"})
+    {
+        const std::string text = number;
+        CAPTURE(text);
+        CHECK(error_of(with_replacement("\"slots\":3", "\"slots\":" + text)) ==
+              error_kind::malformed);
+        CHECK(error_of(
+                  with_replacement("\"sequence\":4", "\"sequence\":" + text)) ==
+              error_kind::malformed);
+        CHECK(error_of(with_replacement("\"born\":1700000000000",
+                                        "\"born\":" + text)) ==
+              error_kind::malformed);
+        CHECK(error_of(with_replacement("\"warmupLeftMs\":1500",
+                                        "\"warmupLeftMs\":" + text)) ==
+              error_kind::malformed);
+    }
+    for (const auto* address :
+         {"10.9.0.1:65536", "10.9.0.1:99999999999", "10.9.0.1:-1",
+          "10.9.0.1:", "10.9.0.256:8105", "10.9.0.1", ":8105", ""})
+    {
+        CAPTURE(std::string(address));
+        CHECK(error_of(with_replacement("10.9.0.1:8105", address)) ==
+              error_kind::malformed);
+    }
+}
+
+TEST_CASE("an odd entry in an answer of the store leaves the others readable")
+{
+    const auto response = [](const std::string& body)
+    {
+        return http_response{200, "application/json", body, {}};
+    };
+    const std::string good = R"({"key":"b","value":"eA==","revision":7})";
+    constexpr std::size_t depth = 100000;
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    for (const std::string& odd :
+         {std::string(R"({"key":"a","value":"%%%","revision":3})"),
+          std::string(R"({"key":"a","value":5,"revision":3})"),
+          std::string(R"({"key":"a","revision":1e30})"), std::string("7"),
+          std::string("null"), R"({"key":"a","value":)" + nested + "}", nested})
+    {
+        const auto range = platform::parse_range_response(response(
+            R"({"items":[)" + odd + "," + good + R"(],"currentRev":9})"));
+        REQUIRE(range.ok());
+        REQUIRE(!range->values.empty());
+        CHECK(range->values.back().key == "b");
+        CHECK(range->values.back().value == "x");
+        CHECK(range->revision == 9);
+        const auto watch = platform::parse_watch_response(response(
+            R"({"events":[)" + odd + "," + good + R"(],"currentRev":9})"));
+        REQUIRE(watch.ok());
+        CHECK(watch->events.back().value == "x");
+    }
+}
+
 // Guards against: a store that came back from an older copy is not told from
 // one that goes on.
 TEST_CASE("a store restored from an older copy shows in the era of each answer")
