--- a/modules/packets/agent/local_server.cpp
+++ b/modules/packets/agent/local_server.cpp
@@ -53,9 +53,8 @@
     }
     const auto first = !last_heartbeat_.has_value();
     // The first heartbeat of an incarnation has at most the sequence number 1.
-    // A server that started after this VM was found to have none is younger
-    // than the agent, too.
-    predates_agent_ = heartbeat.sequence > 1 && !absent_;
+    predates_agent_ =
+        heartbeat.sequence > 1 && !may_have_started_since_check(now, heartbeat);
     lower_sequences_.reset();
     absent_ = false;
     last_heartbeat_ = heartbeat;
@@ -67,6 +66,21 @@
     return first ? heartbeat_outcome::changed : heartbeat_outcome::replaced;
 }
 
+// Returns true for a server that may have started after this VM was found to
+// have none: it is younger than the agent, too. A heartbeat that is not
+// acknowledged is followed by the next one sooner, so that numbers may rise
+// faster than once in an interval.
+auto local_server::may_have_started_since_check(
+    millis now, const server_heartbeat& heartbeat) const -> bool
+{
+    constexpr std::int64_t heartbeats_per_interval_max = 2;
+    const auto intervals =
+        (now - not_found_at_).count / heartbeat_interval_.count + 1;
+    return absent_ &&
+           heartbeat.sequence <= static_cast<std::uint64_t>(
+                                     intervals * heartbeats_per_interval_max);
+}
+
 auto local_server::on_same_incarnation(millis now,
                                        const server_heartbeat& heartbeat)
     -> heartbeat_outcome
@@ -167,7 +181,7 @@
     return overdue || refuses || is_silent(now);
 }
 
-auto local_server::on_not_found(millis, millis checked_at) -> bool
+auto local_server::on_not_found(millis now, millis checked_at) -> bool
 {
     const auto heard = std::max(last_heard_at_, last_heartbeat_at_);
     const auto known = last_heartbeat_.has_value();
@@ -176,6 +190,7 @@
         return false;
     }
     absent_ = true;
+    not_found_at_ = now;
     unanswered_since_.reset();
     return true;
 }
--- a/modules/packets/agent/local_server.hpp
+++ b/modules/packets/agent/local_server.hpp
@@ -120,6 +120,9 @@
 
     auto on_same_incarnation(millis now, const server_heartbeat& heartbeat)
         -> heartbeat_outcome;
+    auto may_have_started_since_check(millis now,
+                                      const server_heartbeat& heartbeat) const
+        -> bool;
     auto is_sequence_restarted(millis now, std::uint64_t sequence) -> bool;
 
     std::string service_name_;
@@ -136,6 +139,8 @@
     std::optional<millis> refused_at_;
     bool left_ = false;
     bool absent_ = false;
+    // When the server was last found to be absent.
+    millis not_found_at_;
     bool predates_agent_ = true;
 };
 
