Packet agents: a server that was not found may still be older than the agent

A server counts as started after the check only if its heartbeat has a number that it can have reached since.

--- a/tests/unit/local_server_test.cpp
+++ b/tests/unit/local_server_test.cpp
@@ -122,6 +122,26 @@
     CHECK(it.predates_agent());
 }
 
+// Guards against: a restarted agent whose check found no server process, before
+// the first heartbeat came, took a server that had run all the while for
+// younger than itself, and open flows were reset.
+TEST_CASE("a server that was not found may still be older than the agent")
+{
+    local_server it("orders", interval);
+    REQUIRE(it.on_not_found(seconds(100), seconds(100)));
+    SUBCASE("its heartbeat has a number that it cannot have reached since")
+    {
+        it.on_heartbeat(seconds(101), make_heartbeat("a", 10, 16));
+        CHECK(it.predates_agent());
+    }
+    SUBCASE("it has started since")
+    {
+        it.on_heartbeat(seconds(103), make_heartbeat("a", 100, 3));
+        CHECK_FALSE(it.predates_agent());
+    }
+    CHECK_FALSE(it.is_absent());
+}
+
 // Guards against: a false heartbeat of a server that starts in the far future
 // replaces the server, and the real one counts as outdated.
 TEST_CASE("a heartbeat of another address or from the future is refused")
