Packet balancer: after its start, packets of open flows go to every service of their route

Cause: a balancer remembers the services that a route led to before a change, but not across its own restart. It chose by the new weights, sent the packet to one service only, and when the true owner had been restarted as well, nobody showed the packet to it.

With its first table a balancer now treats all services of a route as former ones, for the maximum lifetime of a flow. A service is listed once however often weights change (each change added it again before).

The test fails without the change. Ruled out as a fix: agents showing packets to servers of other services, which no agent can tell apart from foreign flows. Open: a route whose service is replaced by another one altogether, and then every process restarted, is not covered by this.

--- a/modules/packets/balancer/packet_balancer.cpp
+++ b/modules/packets/balancer/packet_balancer.cpp
@@ -43,7 +43,9 @@
     }
 }
 
-// Open flows stay with the service that they were opened at.
+// Open flows stay with the service that they were opened at. Before its first
+// table, this process does not know how the weights of a route have changed, so
+// that a flow may be open at any of the route's services.
 auto packet_balancer::remember_former_targets(millis now,
                                               const route_table& next) -> void
 {
@@ -52,26 +54,45 @@
                   {
                       return next.find(item.first) == nullptr;
                   });
-    if (routes_ == nullptr)
+    const auto& former = routes_ == nullptr ? next : *routes_;
+    for (const auto& [address, old] : former.routes)
     {
-        return;
+        const auto* current = next.find(address);
+        const auto is_certain = routes_ == nullptr
+                                    ? old.targets.size() == 1
+                                    : current != nullptr && *current == old;
+        if (current != nullptr && !is_certain)
+        {
+            remember_targets(now, address, old);
+        }
     }
-    for (const auto& [address, old] : routes_->routes)
+}
+
+auto packet_balancer::remember_targets(millis now, const endpoint& address,
+                                       const route& former) -> void
+{
+    auto& list = former_targets_[address];
+    std::erase_if(list,
+                  [&](const former_target& it)
+                  {
+                      return it.until <= now;
+                  });
+    const auto until = now + former_service_time;
+    for (const auto& target : former.targets)
     {
-        const auto* current = next.find(address);
-        if (current == nullptr || *current == old)
+        const auto it =
+            std::find_if(list.begin(), list.end(),
+                         [&](const former_target& item)
+                         {
+                             return item.service_name == target.service_name;
+                         });
+        if (it == list.end())
         {
-            continue;
+            list.push_back({target.service_name, until});
         }
-        auto& list = former_targets_[address];
-        std::erase_if(list,
-                      [&](const former_target& it)
-                      {
-                          return it.until <= now;
-                      });
-        for (const auto& target : old.targets)
+        else
         {
-            list.push_back({target.service_name, now + former_service_time});
+            it->until = until;
         }
     }
 }
--- a/modules/packets/balancer/packet_balancer.hpp
+++ b/modules/packets/balancer/packet_balancer.hpp
@@ -58,6 +58,8 @@
 
     auto report_ignored(const route_table* next) const -> void;
     auto remember_former_targets(millis now, const route_table& next) -> void;
+    auto remember_targets(millis now, const endpoint& address,
+                          const route& former) -> void;
     auto targets_of(const std::string& service_name) -> const service_targets&;
     auto place_flow(millis now, const flow_packet& packet, const route& matched,
                     const flow_key& flow) -> void;
--- a/tests/unit/packet_balancer_test.cpp
+++ b/tests/unit/packet_balancer_test.cpp
@@ -1,5 +1,6 @@
 #include "packets/packets.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <memory>
 
@@ -150,6 +151,51 @@
     CHECK(fresh.send_acknowledgement(7) == next);
 }
 
+// Guards against: the weights of a route change, every process is restarted in
+// turn, and packets of open flows reach servers of the route's other service
+// and never their own.
+TEST_CASE("a balancer that has just started sends packets of open flows to "
+          "every service of their route")
+{
+    packet_balancer_fixture it;
+    auto other = record_of(agents + 1, member_kind::agent);
+    other.service_name = "surveys";
+    it.receive_gossip(other);
+    packet_balancer restarted(it.members, it.make_hooks());
+    const auto adopt =
+        [&](configuration_version version, std::vector<route_target> targets)
+    {
+        auto routes = std::make_shared<route_table>();
+        routes->version = version;
+        routes->routes[route_address] = {std::move(targets), 0};
+        restarted.adopt(it.now, std::move(routes));
+    };
+    const auto reaches_both = [&](std::uint16_t port)
+    {
+        it.sent.clear();
+        flow_packet packet;
+        packet.source = {caller_address, port};
+        packet.destination = route_address;
+        packet.acknowledges = true;
+        restarted.on_caller_packet(it.now, packet);
+        const auto to_other =
+            std::count(it.sent.begin(), it.sent.end(), other.data_address);
+        return it.sent.size() == 2 && to_other == 1;
+    };
+    adopt(1, {{"orders", 9}, {"surveys", 1}});
+    for (std::uint16_t port = 1; port <= 50; ++port)
+    {
+        CHECK(reaches_both(port));
+    }
+    // Each service gets a packet once, however often the weights change.
+    adopt(2, {{"orders", 1}, {"surveys", 9}});
+    adopt(3, {{"orders", 5}, {"surveys", 5}});
+    CHECK(reaches_both(1));
+    // No flow is older than this.
+    it.now = it.now + packet_balancer::former_service_time;
+    CHECK_FALSE(reaches_both(1));
+}
+
 TEST_CASE("packets of a flow follow its opening packet when members change")
 {
     packet_balancer_fixture it;
