Soak: callers that keep their flows, and kills of many processes at once

- One flow in eight of the stand-in's callers stays open for eight requests, with pauses of up to 2.5 s.

--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,7 +1,9 @@
 # Sourced by ./run after the build: the packet programs as separate processes
 # beside the stand-in for the users' platform, while a seeded series of signals
 # stops, kills, pauses and reloads them, overlapping, and the store goes away and
-# comes back from older copies. The stand-in says what callers and servers saw.
+# comes back from older copies. With --herd, all balancers and some agents are
+# killed at the same moment besides. The stand-in says what callers and servers
+# saw.
 # Prints a line a seed; fails when a promise was broken, a process ended by
 # itself or a balancer does not hold the newest configuration at the end.
 . scripts/lib/packet_site.sh
@@ -11,8 +13,13 @@
 seconds=18
 balancers=4
 agents=8
+herd=0
 while [ $# -gt 0 ]; do
     case $1 in
+    --herd)
+        herd=1
+        shift
+        ;;
     --seeds | --from | --seconds | --balancers | --agents)
         case ${2:-} in
         '' | *[!0-9]*)
@@ -25,7 +32,7 @@
         ;;
     *)
         echo "run: faults takes --seeds, --from, --seconds, --balancers," \
-            "--agents, not '$1'" >&2
+            "--agents, --herd, not '$1'" >&2
         exit 64
         ;;
     esac
@@ -80,6 +87,25 @@
     note_fault "kind=$kind $name until=${fault_until[$name]}"
 }
 
+# Kills every balancer that is up and some agents at the same moment.
+begin_herd_kill() {
+    local name share=$((RANDOM % 60)) until=$((fault_tick + 3 + RANDOM % 8))
+    local victims=()
+    while read -r name; do
+        [ "${fault_state[$name]}" = up ] || continue
+        case $name in
+        balancer-*) ;;
+        *) [ $((RANDOM % 100)) -lt "$share" ] || continue ;;
+        esac
+        victims+=("${fault_pid[$name]}")
+        fault_state[$name]=down
+        fault_until[$name]=$until
+    done < <(printf '%s\n' "${!fault_pid[@]}" | sort)
+    [ ${#victims[@]} -gt 0 ] || return 0
+    kill -KILL "${victims[@]}"
+    note_fault "herd of ${#victims[@]} until=$until"
+}
+
 # Processes that should be up and are not.
 count_ended() {
     local name ended=0
@@ -117,6 +143,9 @@
     for ((fault_tick = 0; fault_tick < fault_ticks; fault_tick++)); do
         end_faults
         [ $((RANDOM % 5)) -ne 0 ] || begin_fault
+        if [ "$herd" -eq 1 ] && [ $((RANDOM % 40)) -eq 0 ]; then
+            begin_herd_kill
+        fi
         if [ $((RANDOM % 50)) -eq 0 ]; then
             restore_store
             note_fault "store restored"
--- a/stand_ins/packet_site/site_callers.cpp
+++ b/stand_ins/packet_site/site_callers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdio>
 #include <utility>
 
 namespace briardrum::stand_in
@@ -17,6 +18,21 @@
 constexpr millis resend_interval = milliseconds(200);
 constexpr millis try_time = seconds(10);
 constexpr std::uint32_t first_sequence = 5000;
+// One flow in this many is kept open for several requests.
+constexpr std::uint64_t kept_flow_every = 8;
+constexpr std::uint32_t requests_per_kept_flow = 8;
+// The pauses on kept flows are up to this long, well below the idle timeout.
+constexpr std::uint64_t pause_ms_max = 2500;
+
+// The request of this flow that is followed by so many others; '+' asks the
+// server to keep the flow.
+auto request_text(std::uint64_t number, std::uint32_t followed_by)
+    -> std::string
+{
+    const auto text = "request-" + std::to_string(number);
+    return followed_by == 0 ? text
+                            : text + "." + std::to_string(followed_by) + "+";
+}
 
 } // namespace
 
@@ -113,7 +129,11 @@
                           static_cast<std::uint16_t>(1024 + number % 60000)};
     flow it;
     it.route = route->first;
-    it.request = "request-" + std::to_string(number);
+    it.number = number;
+    it.requests_left =
+        number % kept_flow_every == 0 ? requests_per_kept_flow - 1 : 0;
+    it.request = request_text(number, it.requests_left);
+    it.sequence = first_sequence;
     it.asked_at = clock::now();
     it.sent_at = it.asked_at;
     flows_[caller] = it;
@@ -138,6 +158,17 @@
     for (auto it = flows_.begin(); it != flows_.end();)
     {
         auto& [caller, row] = *it;
+        if (row.paused)
+        {
+            if (!asking_)
+            {
+                it = flows_.erase(it);
+                continue;
+            }
+            ask_again(now, caller, row);
+            ++it;
+            continue;
+        }
         if (now - row.asked_at > try_time)
         {
             ++tally_.unanswered;
@@ -183,7 +214,7 @@
     out.source = caller;
     out.destination = it.route;
     out.flags = flags;
-    out.sequence = first_sequence;
+    out.sequence = it.sequence;
     // In an opening packet the field counts its copies.
     out.acknowledged = flags == wire_packet::syn ? it.copies : it.acknowledged;
     out.payload = payload;
@@ -219,17 +250,68 @@
             row.acknowledged = packet->sequence + 1;
         }
         row.sent_at = clock::now();
-        send(found->first, row, wire_packet::ack, row.request);
+        send(found->first, row, wire_packet::ack,
+             row.paused ? "" : row.request);
         return;
     }
     if (packet->payload.empty())
     {
         return;
     }
+    if (!on_answer(found->first, row, *packet))
+    {
+        send(found->first, row, wire_packet::ack | wire_packet::fin, "");
+        flows_.erase(found);
+    }
+}
+
+// Returns false when the flow has ended.
+auto site_callers::on_answer(const endpoint& caller, flow& row,
+                             const wire_packet& packet) -> bool
+{
+    if (row.paused || packet.sequence != row.acknowledged)
+    {
+        // A repeated answer: it is acknowledged again.
+        send(caller, row, wire_packet::ack, "");
+        return true;
+    }
     const auto expected = settings_.routes.at(row.route) + ":" + row.request;
-    ++(packet->payload == expected ? tally_.answered : tally_.wrong);
-    send(found->first, row, wire_packet::ack | wire_packet::fin, "");
-    flows_.erase(found);
+    ++(packet.payload == expected ? tally_.answered : tally_.wrong);
+    if (packet.payload != expected)
+    {
+        std::printf(
+            "event=wrong_answer caller=%s expected=%s found=%s sequence=%u\n",
+            to_string(caller).c_str(), expected.c_str(), packet.payload.c_str(),
+            packet.sequence);
+    }
+    row.acknowledged += static_cast<std::uint32_t>(packet.payload.size());
+    row.sequence += static_cast<std::uint32_t>(row.request.size());
+    if (row.requests_left == 0 || packet.has(wire_packet::fin))
+    {
+        return false;
+    }
+    send(caller, row, wire_packet::ack, "");
+    const auto pause = std::hash<std::string>{}(row.request) % pause_ms_max;
+    row.paused = true;
+    row.asked_at =
+        clock::now() + milliseconds(static_cast<std::int64_t>(pause));
+    return true;
+}
+
+auto site_callers::ask_again(millis now, const endpoint& caller, flow& row)
+    -> void
+{
+    if (now < row.asked_at)
+    {
+        return;
+    }
+    row.paused = false;
+    --row.requests_left;
+    row.request = request_text(row.number, row.requests_left);
+    row.asked_at = now;
+    row.sent_at = now;
+    ++tally_.asked;
+    send(caller, row, wire_packet::ack, row.request);
 }
 
 } // namespace briardrum::stand_in
--- a/stand_ins/packet_site/site_callers.hpp
+++ b/stand_ins/packet_site/site_callers.hpp
@@ -43,9 +43,10 @@
     std::uint64_t broken = 0;
 };
 
-// Fabric and callers in one: asks the balancers whether they are ready, sends
-// each flow's packets by its hash over those that are, and checks what comes
-// back.
+// Fabric and callers in one. Most callers open a flow for each request; some
+// keep theirs open for several, with pauses. Asks the balancers whether they
+// are ready, sends each flow's packets by its hash over those that are, and
+// checks what comes back.
 class site_callers
 {
 public:
@@ -69,13 +70,23 @@
         millis sent_at;
         std::uint32_t copies = 0;
         bool open = false;
-        // The server's position that the caller acknowledges.
+        // The server's position that the caller acknowledges, and the caller's
+        // own.
         std::uint32_t acknowledged = 0;
+        std::uint32_t sequence = 0;
+        std::uint64_t number = 0;
+        // Requests that follow this one on the same flow, after pauses.
+        std::uint32_t requests_left = 0;
+        // True between an answer and the next request.
+        bool paused = false;
     };
 
     auto poll() -> void;
     auto ask() -> void;
     auto tick() -> void;
+    auto ask_again(millis now, const endpoint& caller, flow& row) -> void;
+    auto on_answer(const endpoint& caller, flow& row, const wire_packet& packet)
+        -> bool;
     auto send(const endpoint& caller, const flow& it, std::uint8_t flags,
               const std::string& payload) -> void;
     auto on_packet(byte_view bytes) -> void;
--- a/stand_ins/packet_site/site_server.cpp
+++ b/stand_ins/packet_site/site_server.cpp
@@ -19,6 +19,11 @@
                          std::function<void(const std::string&)> on_run)
     : context_(context), settings_(std::move(settings)),
       on_run_(std::move(on_run)), socket_(context),
+      health_(context,
+              [](const http_request&)
+              {
+                  return http_response{http_ok, "text/plain", ""};
+              }),
       client_(context, settings_.control), timer_(context),
       started_ms_(clock::wall().count)
 {
@@ -26,7 +31,8 @@
 
 auto site_server::start() -> bool
 {
-    if (!socket_.open(settings_.local).ok())
+    if (!socket_.open(settings_.local).ok() ||
+        !health_.start(settings_.local).ok())
     {
         return false;
     }
@@ -99,12 +105,43 @@
         flows_.erase(it);
         return;
     }
-    if (!packet->payload.empty() && !std::exchange(it->second.asked, true))
+    if (!packet->payload.empty())
     {
-        run(*packet, it->second.first_sequence);
+        on_request(it->second, *packet);
     }
 }
 
+// A repeated request is answered again, or acknowledged while it runs.
+auto site_server::on_request(flow& row, const wire_packet& packet) -> void
+{
+    const auto end =
+        packet.sequence + static_cast<std::uint32_t>(packet.payload.size());
+    if (!row.asked || packet.sequence == row.received)
+    {
+        row.asked = true;
+        row.received = end;
+        row.answer.reset();
+        run(packet);
+        return;
+    }
+    if (end != row.received)
+    {
+        return;
+    }
+    if (row.answer.has_value())
+    {
+        send(*row.answer);
+        return;
+    }
+    wire_packet out;
+    out.source = packet.destination;
+    out.destination = packet.source;
+    out.sequence = row.first_sequence + 1 + row.answered_bytes;
+    out.acknowledged = row.received;
+    out.flags = wire_packet::ack;
+    send(out);
+}
+
 auto site_server::accept(const wire_packet& opening) -> void
 {
     const std::pair key{opening.source, opening.destination};
@@ -132,33 +169,39 @@
     }
 }
 
-auto site_server::run(const wire_packet& request, std::uint32_t first_sequence)
-    -> void
+auto site_server::run(const wire_packet& request) -> void
 {
     on_run_(request.payload);
     const auto timer = std::make_shared<asio::steady_timer>(context_);
     timer->expires_after(std::chrono::milliseconds(settings_.work.count));
     timer->async_wait(
-        [this, timer, request, first_sequence](const asio::error_code& ec)
+        [this, timer, request](const asio::error_code& ec)
         {
             if (!ec)
             {
-                answer(request, first_sequence);
+                answer(request);
             }
         });
 }
 
-auto site_server::answer(const wire_packet& request,
-                         std::uint32_t first_sequence) -> void
+auto site_server::answer(const wire_packet& request) -> void
 {
+    const auto it = flows_.find({request.source, request.destination});
+    if (it == flows_.end())
+    {
+        return;
+    }
+    auto& row = it->second;
+    const auto kept = request.payload.ends_with('+') && !draining_;
     wire_packet out;
     out.source = request.destination;
     out.destination = request.source;
-    out.sequence = first_sequence + 1;
-    out.acknowledged =
-        request.sequence + static_cast<std::uint32_t>(request.payload.size());
-    out.flags = wire_packet::ack | wire_packet::fin;
+    out.sequence = row.first_sequence + 1 + row.answered_bytes;
+    out.acknowledged = row.received;
+    out.flags = kept ? wire_packet::ack : wire_packet::ack | wire_packet::fin;
     out.payload = settings_.service_name + ":" + request.payload;
+    row.answered_bytes += static_cast<std::uint32_t>(out.payload.size());
+    row.answer = out;
     send(out);
 }
 
