Membership: a member that is heard under a later incarnation is asked for its record

After the cut nobody is told again: its messages show a later incarnation, and a member that holds an older record stayed silent.

The test fails without the change.

--- a/modules/membership/member_view.cpp
+++ b/modules/membership/member_view.cpp
@@ -191,8 +191,9 @@
 {
     if (update.id == self_)
     {
+        const auto outdated = supersedes(self(), update);
         on_update_about_self(update);
-        return merge_outcome::duplicate;
+        return outdated ? merge_outcome::stale : merge_outcome::duplicate;
     }
     const auto result = members_.merge(update);
     if (result.outcome == merge_outcome::applied)
@@ -350,17 +351,20 @@
     }
 }
 
-// Sends a member its own record if it is considered suspect, dead or replaced
-// by a later incarnation here, since only the member itself can refute that.
+// Sends a member its own record as known here if it differs from what the
+// message shows: if the member is considered suspect or dead, which only the
+// member itself can refute, or if it runs under another incarnation. A member
+// that has a newer record answers with it.
 auto member_view::notify_sender_of_its_state(millis now,
                                              const control_message& message)
     -> void
 {
     const auto* known = find(message.from);
-    if (known == nullptr || known->state == member_state::left ||
+    const auto is_later =
+        known != nullptr && message.from_incarnation > known->incarnation;
+    if (known == nullptr || (known->state == member_state::left && !is_later) ||
         (message.from_incarnation == known->incarnation &&
-         known->state < member_state::suspect) ||
-        message.from_incarnation > known->incarnation)
+         known->state < member_state::suspect))
     {
         return;
     }
--- a/tests/unit/membership_failure_test.cpp
+++ b/tests/unit/membership_failure_test.cpp
@@ -315,3 +315,57 @@
             bound));
     }
 }
+
+// Guards against: a member that was cut off refuted its death during the cut,
+// which reached nobody, and was held for dead for seconds after it, since a
+// sender with a later incarnation was told nothing.
+TEST_CASE("a member that is heard under a later incarnation is taken back at "
+          "once")
+{
+    struct sent_message
+    {
+        endpoint to;
+        control_message message;
+    };
+    std::vector<sent_message> sent;
+    const auto hooks = [&]
+    {
+        membership_hooks out;
+        out.send = [&](const endpoint& to, const control_message& message)
+        {
+            sent.push_back({to, message});
+        };
+        return out;
+    };
+    const auto now = seconds(100);
+    auto refuted = make_agent(2, "orders");
+    refuted.incarnation = 3;
+    const auto self = make_agent(1, "orders");
+    member_view view(self, {}, {}, hooks(), 1);
+    member_view other(refuted, {}, {}, hooks(), 2);
+    for (const auto state : {member_state::ready, member_state::dead})
+    {
+        auto record = make_agent(2, "orders");
+        record.state = state;
+        view.on_control(now, {7, 1, gossip_message{{record}, false}});
+    }
+    other.on_control(now, {self.id, 1, gossip_message{{self}, false}});
+    sent.clear();
+
+    view.on_control(now, {refuted.id, 3, probe_message{1, self.id, {}}});
+    // Besides the answer to the probe, it is sent the outdated record, and
+    // answers with its own.
+    const auto messages = std::exchange(sent, {});
+    for (const auto& it : messages)
+    {
+        CHECK(it.to == refuted.control_address);
+        other.on_control(now, it.message);
+    }
+    REQUIRE(!sent.empty());
+    CHECK(sent.back().to == self.control_address);
+    view.on_control(now, sent.back().message);
+    const auto* known = view.find(refuted.id);
+    REQUIRE(known != nullptr);
+    CHECK(known->state == member_state::ready);
+    CHECK(known->incarnation == 3);
+}
