Packet agents: a registered agent that left without a server does not block the proof of a loss

An agent that is registered and not known counts as departed; when the news came that it had left without a server, it went on counting for the lifetime of a flow, so that callers of flows lost meanwhile were not reset. Its own last word removes it now. The test fails without the change. An interval of heartbeats of 0 in the settings no longer divides by zero.

--- a/modules/packets/agent/agent_census.cpp
+++ b/modules/packets/agent/agent_census.cpp
@@ -72,7 +72,11 @@
 {
     // The record of an agent that left is its own last word; that of a dead one
     // may be out of date.
-    if (record.state != member_state::left || may_hold_flows(record))
+    if (record.state == member_state::left && !may_hold_flows(record))
+    {
+        departed_.erase(record.id);
+    }
+    else
     {
         departed_.try_emplace(record.id,
                               departed_agent{record.data_address.address, now});
--- a/modules/packets/agent/local_server.cpp
+++ b/modules/packets/agent/local_server.cpp
@@ -74,8 +74,9 @@
     millis now, const server_heartbeat& heartbeat) const -> bool
 {
     constexpr std::int64_t heartbeats_per_interval_max = 2;
-    const auto intervals =
-        (now - not_found_at_).count / heartbeat_interval_.count + 1;
+    const auto interval_ms =
+        std::max<std::int64_t>(1, heartbeat_interval_.count);
+    const auto intervals = (now - not_found_at_).count / interval_ms + 1;
     return absent_ &&
            heartbeat.sequence <= static_cast<std::uint64_t>(
                                      intervals * heartbeats_per_interval_max);
--- a/tests/unit/lost_flow_test.cpp
+++ b/tests/unit/lost_flow_test.cpp
@@ -283,6 +283,17 @@
         it.advance_time(milliseconds(20));
         CHECK(it.resets.size() == 1);
     }
+    SUBCASE("it has left without a server")
+    {
+        auto gone = unknown;
+        gone.state = member_state::left;
+        gone.slots = 0;
+        it.core->on_member_departed(it.now, gone);
+        it.deny_queries(1);
+        it.deny_queries(2);
+        it.advance_time(milliseconds(20));
+        CHECK(it.resets.size() == 1);
+    }
     SUBCASE("no flow of it can be left")
     {
         it.advance_time(seconds(60));
