--- a/modules/node/store/agent_registrar.cpp
+++ b/modules/node/store/agent_registrar.cpp
@@ -127,10 +127,10 @@
 {
     compared_epoch_ = members_.epoch();
     next_comparison_ = now_ + comparison_interval;
-    auto request = changes();
+    const auto request = changes();
     if (!request.writes.empty())
     {
-        write(std::move(request));
+        write(request);
     }
 }
 
@@ -198,7 +198,7 @@
            now_ - it->second >= settings_.departed_retention;
 }
 
-auto agent_registrar::write(store_transaction request) -> void
+auto agent_registrar::write(const store_transaction& request) -> void
 {
     calling_ = true;
     next_call_ = now_ + settings_.write_interval;
--- a/modules/node/store/agent_registrar.hpp
+++ b/modules/node/store/agent_registrar.hpp
@@ -60,7 +60,7 @@
     auto write_changes() -> void;
     auto changes() -> store_transaction;
     auto may_be_removed(const std::string& key) -> bool;
-    auto write(store_transaction request) -> void;
+    auto write(const store_transaction& request) -> void;
     auto on_committed(const store_transaction& request,
                       const absl::StatusOr<store_commit_result>& result)
         -> void;
