--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -398,15 +398,18 @@
           std::string(R"({"key":"a","revision":1e30})"), std::string("7"),
           std::string("null"), R"({"key":"a","value":)" + nested + "}", nested})
     {
-        const auto range = platform::parse_range_response(response(
-            R"({"items":[)" + odd + "," + good + R"(],"currentRev":9})"));
+        std::string list = "[";
+        list.append(odd).append(",").append(good).append("]");
+        std::string body = R"({"items":)";
+        body.append(list).append(R"(,"events":)").append(list);
+        body.append(R"(,"currentRev":9})");
+        const auto range = platform::parse_range_response(response(body));
         REQUIRE(range.ok());
         REQUIRE(!range->values.empty());
         CHECK(range->values.back().key == "b");
         CHECK(range->values.back().value == "x");
         CHECK(range->revision == 9);
-        const auto watch = platform::parse_watch_response(response(
-            R"({"events":[)" + odd + "," + good + R"(],"currentRev":9})"));
+        const auto watch = platform::parse_watch_response(response(body));
         REQUIRE(watch.ok());
         CHECK(watch->events.back().value == "x");
     }
--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -205,9 +205,9 @@
     virtual_store second_client(data);
     std::vector<endpoint> found;
     const endpoint address{0x0a000001, 7000};
-    member_directory first(first_client, {"m/", "first", address, true},
+    member_directory first(first_client, {{"m/"}, "first", address, true},
                            {[](std::span<const endpoint>) {}, {}});
-    member_directory second(second_client, {"m/", "second", {2, 2}, false},
+    member_directory second(second_client, {{"m/"}, "second", {2, 2}, false},
                             {[&](std::span<const endpoint> more)
                              {
                                  found.assign(more.begin(), more.end());
@@ -241,7 +241,7 @@
     const auto empty_copy = data;
     virtual_store client(data);
     const endpoint address{0x0a000001, 7000};
-    member_directory directory(client, {"m/", "first", address, true},
+    member_directory directory(client, {{"m/"}, "first", address, true},
                                {[](std::span<const endpoint>) {}, {}});
     auto now = seconds(1);
     auto is_isolated = false;
