--- a/stand_ins/packet_site/platform_store.cpp
+++ b/stand_ins/packet_site/platform_store.cpp
@@ -18,8 +18,9 @@
 
 using nlohmann::json;
 
-// A waiting watch holds a thread.
-constexpr std::size_t worker_threads = 64;
+// Each open connection holds a thread, also between two calls: enough for two
+// connections of each of 200 processes.
+constexpr std::size_t worker_threads = 400;
 constexpr std::chrono::milliseconds watch_interval(5);
 constexpr int status_down = 503;
 constexpr int status_not_found = 404;
