Slow start: agents limit the opening packets that a cold server gets

Cause: a server that has just started is slow, and its agent gives it as many flows as a warm one. warmupLeftMs was read and not used.

Change: warm_up_limit (no I/O, no clock) holds the times of the openings of the last second and allows warmupPerS plus the slack. flow_opener treats an opening that is not allowed as "no free slot": offered on, queued, or refused when it would wait for longer than its caller does. Copies of opening packets count and are limited; one of a flow that the server has answered is dropped and not offered on, as the flow may be open there. The first second of an agent allows half of the slack, as far as the overshoot covers it. Events warm_up_started, warm_up_ended and openings_held_back, two counters. Settings bounds.warmupOvershoot (without it nothing changes) and bounds.warmupSlack. packet_agent::set_warm_up_rate() takes the rate; only tests call it yet.

--- a/bench/rig/packets/packet_fleet.cpp
+++ b/bench/rig/packets/packet_fleet.cpp
@@ -212,6 +212,7 @@
     agent_settings.service_name = it.service_name;
     it.core = std::make_unique<packet_agent>(*it.members, agent_settings,
                                              make_hooks(index), events_.now());
+    it.core->set_warm_up_rate(events_.now(), settings_.warm_up_rate);
     introduce(*it.members);
     announce(record);
     it.core->on_registered_agents(events_.now(), registered_agents());
@@ -603,6 +604,11 @@
     return servers_.size();
 }
 
+auto packet_fleet::server(std::size_t index) const -> const packet_server&
+{
+    return *servers_[index];
+}
+
 auto packet_fleet::caller() -> packet_caller&
 {
     return *caller_;
--- a/bench/rig/packets/packet_fleet.hpp
+++ b/bench/rig/packets/packet_fleet.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
     millis view_lag_max = milliseconds(300);
     server_model server;
     packet_agent_settings agent;
+    // Rate of each service for cold servers, known to agents as they start.
+    std::optional<double> warm_up_rate;
 };
 
 // Balancers, agents, backend servers and callers of packet flows on virtual
@@ -79,6 +82,7 @@
     auto slow_server(std::size_t index, double factor) -> void;
 
     auto server_count() const -> std::size_t;
+    auto server(std::size_t index) const -> const packet_server&;
     auto caller() -> packet_caller&;
 
     // Datagrams between the system's own processes.
--- a/bench/rig/packets/packet_server.cpp
+++ b/bench/rig/packets/packet_server.cpp
@@ -1,5 +1,6 @@
 #include "bench/rig/packets/packet_server.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -35,6 +36,7 @@
     flows_ = {};
     queue_.clear();
     running_ = 0;
+    openings_.clear();
 }
 
 auto packet_server::lose() -> void
@@ -73,12 +75,24 @@
     return slots_;
 }
 
+auto packet_server::openings() const -> const std::vector<millis>&
+{
+    return openings_;
+}
+
+auto packet_server::is_cold() const -> bool
+{
+    return events_.now() - started_at_ < model_.cold_time;
+}
+
 auto packet_server::next_heartbeat() -> server_heartbeat
 {
     server_heartbeat out;
     out.server_id = "server-" + std::to_string(life_);
     out.slots = slots_;
     out.draining = draining_;
+    const auto left = started_at_ + model_.cold_time - events_.now();
+    out.warm_up_left = std::max(left, millis{});
     out.sequence = ++sequence_;
     out.started_at = started_at_;
     return out;
@@ -93,6 +107,7 @@
     const auto flow = flow_from_caller(packet);
     if (packet.opens)
     {
+        openings_.push_back(events_.now());
         const auto life = static_cast<std::uint32_t>(life_ % lives_max);
         const auto sequence = (number_ * lives_max + life) * sequence_step;
         flows_.insert(flow, {sequence, false});
@@ -152,8 +167,7 @@
     ++runs_;
     const auto flow = flow_from_caller(request);
     hooks_.started(flow);
-    const auto cold = events_.now() - started_at_ < model_.cold_time;
-    const auto factor = slowness_ * (cold ? model_.cold_factor : 1);
+    const auto factor = slowness_ * (is_cold() ? model_.cold_factor : 1);
     const auto work = static_cast<double>(hooks_.work_of(flow).count) * factor;
     const auto life = life_;
     events_.after(milliseconds(std::lround(work)),
--- a/bench/rig/packets/packet_server.hpp
+++ b/bench/rig/packets/packet_server.hpp
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <functional>
+#include <vector>
 
 namespace briardrum::rig
 {
@@ -53,6 +54,11 @@
     auto runs() const -> std::uint64_t;
     auto slots() const -> std::uint32_t;
 
+    // When the opening packets of the present incarnation arrived, copies
+    // included.
+    auto openings() const -> const std::vector<millis>&;
+    auto is_cold() const -> bool;
+
     // Heartbeats: the incarnation, its next sequence, and whether it leaves.
     auto next_heartbeat() -> server_heartbeat;
     auto drain() -> void;
@@ -82,6 +88,7 @@
     std::uint64_t life_ = 0;
     std::uint64_t sequence_ = 0;
     std::uint64_t runs_ = 0;
+    std::vector<millis> openings_;
     millis started_at_;
     double slowness_ = 1;
     bool up_ = false;
--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -15,6 +15,8 @@
     out.service_name = settings.service_name;
     out.heartbeat_interval = settings.heartbeat_interval;
     out.flow_lifetime = settings.flow_lifetime;
+    out.warm_up_overshoot = settings.warm_up_overshoot;
+    out.warm_up_slack = settings.warm_up_slack;
     return out;
 }
 
@@ -207,6 +209,8 @@
     out.counter("packets_returned_total", it.returned);
     out.counter("packets_wrong_service_total", it.wrong_service);
     out.counter("packets_dropped_total", it.dropped);
+    out.counter("warm_up_openings_total", it.warm_up_openings);
+    out.counter("openings_held_back_total", it.openings_held_back);
     out.counter("heartbeats_refused_total", bad_heartbeats_);
     out.histogram("flow_wait_ms", waits_);
     out.histogram("flow_answer_ms", answers_);
--- a/modules/io/daemons/packet_process_settings.hpp
+++ b/modules/io/daemons/packet_process_settings.hpp
@@ -6,6 +6,7 @@
 
 #include <absl/status/statusor.h>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,9 @@
     std::string service_name;
     millis heartbeat_interval = seconds(1);
     millis flow_lifetime = seconds(60);
+    // Slow start of the server; see packet_agent_settings.
+    std::optional<double> warm_up_overshoot;
+    std::optional<double> warm_up_slack;
 
     auto operator==(const packet_process_settings&) const -> bool = default;
 };
--- a/modules/packets/agent/agent_state.cpp
+++ b/modules/packets/agent/agent_state.cpp
@@ -19,6 +19,17 @@
     return phase == flow_phase::opening || phase == flow_phase::asking;
 }
 
+auto warm_up_settings_of(const packet_agent_settings& settings)
+    -> std::optional<warm_up_settings>
+{
+    if (!settings.warm_up_overshoot.has_value())
+    {
+        return std::nullopt;
+    }
+    return warm_up_settings{*settings.warm_up_overshoot,
+                            settings.warm_up_slack.value_or(0)};
+}
+
 } // namespace
 
 auto as_count(millis span) -> std::uint64_t
@@ -32,7 +43,9 @@
     : members(all_members), settings(std::move(start_settings)),
       hooks(std::move(start_hooks)), started_at(start),
       server(settings.service_name, settings.heartbeat_interval),
-      admission(settings.admission), tag(service_tag_of(settings.service_name))
+      admission(settings.admission),
+      warm_up(warm_up_settings_of(settings), start),
+      tag(service_tag_of(settings.service_name))
 {
 }
 
--- a/modules/packets/agent/agent_state.hpp
+++ b/modules/packets/agent/agent_state.hpp
@@ -7,6 +7,7 @@
 #include "packets/agent/owned_flow.hpp"
 #include "packets/agent/packet_agent_counters.hpp"
 #include "packets/agent/packet_agent_settings.hpp"
+#include "packets/agent/warm_up_limit.hpp"
 #include "packets/model/packet_hooks.hpp"
 #include "routing/routing.hpp"
 
@@ -57,6 +58,7 @@
     millis started_at;
     local_server server;
     flow_admission admission;
+    warm_up_limit warm_up;
     service_tag tag;
     service_candidates candidates;
     table<flow_key, owned_flow> flows;
--- a/modules/packets/agent/flow_admission.cpp
+++ b/modules/packets/agent/flow_admission.cpp
@@ -69,15 +69,23 @@
 }
 
 auto flow_admission::decide(millis now, std::uint8_t urgency,
-                            millis first_sent_at) const -> admission_decision
+                            millis first_sent_at, millis start_delay) const
+    -> admission_decision
 {
-    if (waiting_.empty() && has_capacity(settings_.overcommit_settled))
+    const auto delayed = start_delay > millis{};
+    if (!delayed && waiting_.empty() &&
+        has_capacity(settings_.overcommit_settled))
     {
         return admission_decision::start;
     }
+    if (delayed && now - first_sent_at + start_delay > settings_.queue_age_max)
+    {
+        return admission_decision::refuse;
+    }
+    const auto wait =
+        std::max(expected_wait(now, urgency, first_sent_at), start_delay);
     const auto waits_in_time =
-        is_fresh(now, first_sent_at) &&
-        expected_wait(now, urgency, first_sent_at) <= settings_.fresh_age_max;
+        is_fresh(now, first_sent_at) && wait <= settings_.fresh_age_max;
     const auto queue_limit =
         std::size_t{slots_} * settings_.late_flows_per_slot;
     const auto overloaded =
--- a/modules/packets/agent/flow_admission.hpp
+++ b/modules/packets/agent/flow_admission.hpp
@@ -79,8 +79,11 @@
     auto has_free_slot() const -> bool;
 
     // Decides on an opening packet for which no agent has a free slot.
-    auto decide(millis now, std::uint8_t urgency, millis first_sent_at) const
-        -> admission_decision;
+    // start_delay is the time for which the server may not be given the flow
+    // although it has a slot; a flow is refused if that makes it wait for
+    // longer than queue_age_max.
+    auto decide(millis now, std::uint8_t urgency, millis first_sent_at,
+                millis start_delay = {}) const -> admission_decision;
 
     // first_sent_at is the time at which the caller first sent the opening
     // packet, as far as known.
--- a/modules/packets/agent/flow_opener.cpp
+++ b/modules/packets/agent/flow_opener.cpp
@@ -75,8 +75,17 @@
     packet.datagram = bytes;
     if (!state_.server.is_silent(now))
     {
-        state_.hooks.send_to_server(packet);
-        return;
+        if (may_send_opening(now))
+        {
+            send_opening(now, packet);
+            return;
+        }
+        // The flow may be open at the server, and no other may take it.
+        if (row.server_sequence.has_value())
+        {
+            ++state_.counters.dropped;
+            return;
+        }
     }
     state_.remove_flow(now, flow);
     forward_offer(now, packet);
@@ -84,7 +93,8 @@
 
 auto flow_opener::offer(millis now, const flow_packet& packet) -> void
 {
-    if (state_.accepts_new_flows(now) && state_.admission.has_free_slot())
+    if (state_.accepts_new_flows(now) && state_.admission.has_free_slot() &&
+        may_send_opening(now))
     {
         start_flow(now, packet);
         return;
@@ -140,8 +150,10 @@
                                std::span<const member_id> order,
                                packet_label& label) -> void
 {
-    const auto expected = state_.admission.expected_wait(
-        now, label.urgency, first_sent_at(now, packet));
+    const auto expected =
+        std::max(state_.admission.expected_wait(now, label.urgency,
+                                                first_sent_at(now, packet)),
+                 warm_up_wait(now));
     const auto units = expected.count / packet_label::best_wait_unit.count;
     const auto wait = static_cast<std::uint8_t>(
         std::min<std::int64_t>(units, packet_label::best_wait_max - 1));
@@ -216,8 +228,10 @@
         pass_on(now, packet);
         return;
     }
+    const auto allowed = may_send_opening(now);
     switch (state_.admission.decide(now, packet.label.urgency,
-                                    first_sent_at(now, packet)))
+                                    first_sent_at(now, packet),
+                                    warm_up_wait(now)))
     {
     case admission_decision::start:
         start_flow(now, packet);
@@ -228,14 +242,16 @@
     case admission_decision::refuse:
         break;
     }
-    refuse(now, packet, "queue_full");
+    refuse(now, packet, allowed ? "queue_full" : "warm_up_limit");
 }
 
 auto flow_opener::enqueue(millis now, const flow_packet& packet) -> void
 {
     const auto flow = flow_from_caller(packet);
-    const auto expected = state_.admission.expected_wait(
-        now, packet.label.urgency, first_sent_at(now, packet));
+    const auto expected =
+        std::max(state_.admission.expected_wait(now, packet.label.urgency,
+                                                first_sent_at(now, packet)),
+                 warm_up_wait(now));
     auto& row = state_.add_flow(now, packet, flow_phase::waiting);
     state_.admission.push(now, flow, packet.label.urgency,
                           first_sent_at(now, packet));
@@ -257,10 +273,34 @@
                     .with("hops", std::uint64_t{packet.label.hops})
                     .with("waited_ms", std::uint64_t{packet.label.waited_ms}));
     state_.server.on_opening_sent(now);
-    state_.hooks.send_to_server(packet);
+    send_opening(now, packet);
     notices_.announce(flow, row);
 }
 
+// Returns false, and counts it, if the warm-up limit of the server is used up.
+auto flow_opener::may_send_opening(millis now) -> bool
+{
+    const auto allowed = state_.warm_up.allows_opening(now);
+    state_.counters.openings_held_back += allowed ? 0 : 1;
+    return allowed;
+}
+
+// Time until the warm-up limit of the server allows a flow to start that is
+// added to the queue now.
+auto flow_opener::warm_up_wait(millis now) const -> millis
+{
+    return state_.warm_up.expected_wait(now, state_.admission.waiting());
+}
+
+// Every opening packet for the server goes through here, so that each counts
+// towards the warm-up limit.
+auto flow_opener::send_opening(millis now, const flow_packet& packet) -> void
+{
+    state_.counters.warm_up_openings += state_.warm_up.is_limited(now) ? 1 : 0;
+    state_.warm_up.on_opening_sent(now);
+    state_.hooks.send_to_server(packet);
+}
+
 auto flow_opener::start_queued_flows(millis now) -> void
 {
     if (!state_.accepts_new_flows(now))
@@ -268,9 +308,13 @@
         redistribute_queued_flows(now);
         return;
     }
-    for (auto flow = state_.admission.pop(now); flow.has_value();
-         flow = state_.admission.pop(now))
+    while (state_.warm_up.allows_opening(now))
     {
+        const auto flow = state_.admission.pop(now);
+        if (!flow.has_value())
+        {
+            return;
+        }
         auto* row = state_.flows.find(*flow);
         if (row == nullptr)
         {
@@ -288,7 +332,7 @@
         auto packet = row->opening;
         packet.datagram = row->opening_bytes;
         state_.server.on_opening_sent(now);
-        state_.hooks.send_to_server(packet);
+        send_opening(now, packet);
     }
 }
 
@@ -320,6 +364,7 @@
     auto packet = state_.opening_of(now, row);
     packet.datagram = bytes;
     state_.server.on_opening_refused(now);
+    state_.warm_up.on_restart_suspected();
     state_.emit(state_.flow_event("opening_refused", flow)
                     .with("hops", std::uint64_t{packet.label.hops}));
     state_.remove_flow(now, flow);
--- a/modules/packets/agent/flow_opener.hpp
+++ b/modules/packets/agent/flow_opener.hpp
@@ -56,6 +56,9 @@
     auto pass_on(millis now, const flow_packet& packet) -> void;
     auto enqueue(millis now, const flow_packet& packet) -> void;
     auto start_flow(millis now, const flow_packet& packet) -> void;
+    auto may_send_opening(millis now) -> bool;
+    auto warm_up_wait(millis now) const -> millis;
+    auto send_opening(millis now, const flow_packet& packet) -> void;
     auto refuse(millis now, const flow_packet& opening, std::string_view reason)
         -> void;
 
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -24,7 +24,8 @@
                    router_.on_packet(now, {}, packet);
                }),
       router_(state_, opener_, locator_, notices_),
-      server_packets_(state_, opener_, locator_, notices_), expiry_(state_)
+      server_packets_(state_, opener_, locator_, notices_), expiry_(state_),
+      warm_up_log_(state_)
 {
 }
 
@@ -115,6 +116,8 @@
     {
         server_packets_.drop_server_flows(now);
     }
+    state_.warm_up.on_heartbeat(now, heartbeat.warm_up_left);
+    warm_up_log_.update(now);
     state_.tag = service_tag_of(state_.server.service_name());
     state_.admission.set_slots(state_.server.slots());
     update_own_record(now);
@@ -124,6 +127,10 @@
 auto packet_agent::on_leave(millis now, const std::string& server_id) -> bool
 {
     const auto known = state_.server.on_leave(now, server_id);
+    if (known)
+    {
+        state_.warm_up.on_restart_suspected();
+    }
     state_.emit(event("server_left")
                     .with("server", server_id)
                     .with("known", known ? "yes" : "no"));
@@ -148,6 +155,7 @@
     {
         return;
     }
+    state_.warm_up.on_restart_suspected();
     state_.emit(event("server_absent", event_level::warning)
                     .with("service", state_.server.service_name())
                     .with("flows", std::uint64_t{state_.flows.size()})
@@ -203,6 +211,14 @@
     }
 }
 
+auto packet_agent::set_warm_up_rate(millis now,
+                                    std::optional<double> requests_per_second)
+    -> void
+{
+    state_.warm_up.set_rate(requests_per_second);
+    warm_up_log_.update(now);
+}
+
 auto packet_agent::tick(millis now) -> void
 {
     look_for_server(now);
@@ -211,6 +227,7 @@
     locator_.tick(now);
     notices_.reannounce();
     expiry_.tick(now);
+    warm_up_log_.update(now);
 }
 
 auto packet_agent::is_drained() const -> bool
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -4,6 +4,7 @@
 #include "packets/agent/flow_expiry.hpp"
 #include "packets/agent/open_flow_router.hpp"
 #include "packets/agent/server_packet_handler.hpp"
+#include "packets/agent/warm_up_log.hpp"
 
 namespace briardrum
 {
@@ -57,6 +58,12 @@
     // this VM.
     auto on_server_not_found(millis now, millis checked_at) -> void;
 
+    // Call when the rate of the service for cold servers is known, and when it
+    // changes; none or 0: not limited. Has no effect without
+    // packet_agent_settings::warm_up_overshoot.
+    auto set_warm_up_rate(millis now, std::optional<double> requests_per_second)
+        -> void;
+
     auto tick(millis now) -> void;
 
     // Stops accepting new flows.
@@ -82,6 +89,7 @@
     open_flow_router router_;
     server_packet_handler server_packets_;
     flow_expiry expiry_;
+    warm_up_log warm_up_log_;
     millis next_look_;
 };
 
--- a/modules/packets/agent/packet_agent_counters.hpp
+++ b/modules/packets/agent/packet_agent_counters.hpp
@@ -29,6 +29,10 @@
     std::uint64_t returned = 0;
     std::uint64_t wrong_service = 0;
     std::uint64_t dropped = 0;
+    // Opening packets sent to the server while it was or may have been cold,
+    // and times that one was not sent for that reason.
+    std::uint64_t warm_up_openings = 0;
+    std::uint64_t openings_held_back = 0;
 };
 
 } // namespace briardrum
--- a/modules/packets/agent/packet_agent_settings.hpp
+++ b/modules/packets/agent/packet_agent_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "packets/agent/flow_admission.hpp"
 
+#include <optional>
 #include <string>
 
 namespace briardrum
@@ -24,6 +25,11 @@
     // is queued. At 75 percent load with two slots per agent, the probability
     // that eight agents in a row are full is below 5 percent.
     std::uint8_t offers_max = 8;
+    // Slow start: a cold server may get the rate of its service times the
+    // overshoot plus the slack, in opening packets per second. Off without
+    // warm_up_overshoot.
+    std::optional<double> warm_up_overshoot;
+    std::optional<double> warm_up_slack;
 };
 
 } // namespace briardrum
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -207,6 +207,47 @@
     CHECK(balancer.ok());
 }
 
+// Guards against: a limit that the operators misspelt is read as another one,
+// or keeps the program from starting without saying where.
+TEST_CASE("the settings of the slow start are read, and errors name the value")
+{
+    const auto parse = [](const std::string& lines)
+    {
+        return platform::parse_settings(settings_text + lines,
+                                        member_kind::agent, "s.conf");
+    };
+    const auto without = parse("bounds.warmupSlack=5\n");
+    REQUIRE(without.ok());
+    CHECK_FALSE(without->warm_up_overshoot.has_value());
+    CHECK_FALSE(without->warm_up_slack.has_value());
+    const auto both =
+        parse("bounds.warmupOvershoot=1.5\nbounds.warmupSlack=2.5\n");
+    REQUIRE(both.ok());
+    CHECK(both->warm_up_overshoot == 1.5);
+    CHECK(both->warm_up_slack == 2.5);
+    const auto whole =
+        parse("bounds.warmupOvershoot=2\nbounds.warmupSlack=5\n");
+    REQUIRE(whole.ok());
+    CHECK(whole->warm_up_overshoot == 2);
+    CHECK(whole->warm_up_slack == 5);
+    for (const std::string value :
+         {"much", "-1.5", "1,5", "1.5x", " 1", "nan", "inf", "1e999"})
+    {
+        CAPTURE(value);
+        const auto overshoot = parse("bounds.warmupOvershoot=" + value + "\n");
+        CHECK(overshoot.status().message() ==
+              "s.conf:16: bounds.warmupOvershoot is not a non-negative "
+              "number: " +
+                  value);
+        const auto slack = parse("bounds.warmupOvershoot=1.5\n"
+                                 "bounds.warmupSlack=" +
+                                 value + "\n");
+        CHECK(slack.status().message() ==
+              "s.conf:17: bounds.warmupSlack is not a non-negative number: " +
+                  value);
+    }
+}
+
 // Guards against: a watch whose connection has gone silent was given up only
 // after the time in which a configuration must take effect.
 TEST_CASE("a silent watch is noticed early enough to read the configuration")
