Settings: bounds may be fractions

Cause: bounds.flowMaxS, bounds.graceS and bounds.configApplyMs were read as whole numbers, so a fraction kept the program from starting.

Change: they are read as numbers, in milliseconds with the rest dropped. A value that is not a non-negative number, or beyond 2^53 ms, is an error that names file, line, field and value. heartbeatMs is no bound and stays whole.

--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -248,6 +248,45 @@
     }
 }
 
+// Guards against: a bound that the operators give as a fraction keeps the
+// program from starting.
+TEST_CASE("bounds in the settings may be fractions")
+{
+    const auto parse = [](const std::string& bound, const std::string& value)
+    {
+        const auto name = "bounds." + bound;
+        return platform::parse_settings(
+            without_line(settings_text, name + "=") + name + "=" + value + "\n",
+            member_kind::agent, "s.conf");
+    };
+    const auto flow = parse("flowMaxS", "62.5");
+    REQUIRE(flow.ok());
+    CHECK(flow->flow_lifetime == milliseconds(62'500));
+    const auto exact = parse("flowMaxS", "1.001");
+    REQUIRE(exact.ok());
+    CHECK(exact->flow_lifetime == milliseconds(1001));
+    const auto grace = parse("graceS", "2.4");
+    REQUIRE(grace.ok());
+    CHECK(grace->stop_bound == milliseconds(1800));
+    const auto text = std::string(settings_text) + "bounds.configApplyMs=";
+    const auto apply = platform::parse_settings(
+        text + "2500.75\n", member_kind::balancer, "s.conf");
+    REQUIRE(apply.ok());
+    CHECK(apply->configuration_deadline == milliseconds(2500));
+    for (const std::string bound : {"flowMaxS", "graceS"})
+    {
+        CAPTURE(bound);
+        CHECK(parse(bound, "soon").status().message() ==
+              "s.conf:15: bounds." + bound +
+                  " is not a non-negative number: soon");
+        CHECK(parse(bound, "-0.5").status().message() ==
+              "s.conf:15: bounds." + bound +
+                  " is not a non-negative number: -0.5");
+        CHECK(parse(bound, "1e300").status().message() ==
+              "s.conf:15: bounds." + bound + " is too large: 1e300");
+    }
+}
+
 // Guards against: a watch whose connection has gone silent was given up only
 // after the time in which a configuration must take effect.
 TEST_CASE("a silent watch is noticed early enough to read the configuration")
