--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -207,6 +207,86 @@
     CHECK(balancer.ok());
 }
 
+// Guards against: a limit that the operators misspelt is read as another one,
+// or keeps the program from starting without saying where.
+TEST_CASE("the settings of the slow start are read, and errors name the value")
+{
+    const auto parse = [](const std::string& lines)
+    {
+        return platform::parse_settings(settings_text + lines,
+                                        member_kind::agent, "s.conf");
+    };
+    const auto without = parse("bounds.warmupSlack=5\n");
+    REQUIRE(without.ok());
+    CHECK_FALSE(without->warm_up_overshoot.has_value());
+    CHECK_FALSE(without->warm_up_slack.has_value());
+    const auto both =
+        parse("bounds.warmupOvershoot=1.5\nbounds.warmupSlack=2.5\n");
+    REQUIRE(both.ok());
+    CHECK(both->warm_up_overshoot == 1.5);
+    CHECK(both->warm_up_slack == 2.5);
+    const auto whole =
+        parse("bounds.warmupOvershoot=2\nbounds.warmupSlack=5\n");
+    REQUIRE(whole.ok());
+    CHECK(whole->warm_up_overshoot == 2);
+    CHECK(whole->warm_up_slack == 5);
+    for (const std::string value :
+         {"much", "-1.5", "1,5", "1.5x", " 1", "nan", "inf", "1e999"})
+    {
+        CAPTURE(value);
+        const auto overshoot = parse("bounds.warmupOvershoot=" + value + "\n");
+        CHECK(overshoot.status().message() ==
+              "s.conf:16: bounds.warmupOvershoot is not a non-negative "
+              "number: " +
+                  value);
+        const auto slack = parse("bounds.warmupOvershoot=1.5\n"
+                                 "bounds.warmupSlack=" +
+                                 value + "\n");
+        CHECK(slack.status().message() ==
+              "s.conf:17: bounds.warmupSlack is not a non-negative number: " +
+                  value);
+    }
+}
+
+// Guards against: a bound that the operators give as a fraction keeps the
+// program from starting.
+TEST_CASE("bounds in the settings may be fractions")
+{
+    const auto parse = [](const std::string& bound, const std::string& value)
+    {
+        const auto name = "bounds." + bound;
+        return platform::parse_settings(
+            without_line(settings_text, name + "=") + name + "=" + value + "\n",
+            member_kind::agent, "s.conf");
+    };
+    const auto flow = parse("flowMaxS", "62.5");
+    REQUIRE(flow.ok());
+    CHECK(flow->flow_lifetime == milliseconds(62'500));
+    const auto exact = parse("flowMaxS", "1.001");
+    REQUIRE(exact.ok());
+    CHECK(exact->flow_lifetime == milliseconds(1001));
+    const auto grace = parse("graceS", "2.4");
+    REQUIRE(grace.ok());
+    CHECK(grace->stop_bound == milliseconds(1800));
+    const auto text = std::string(settings_text) + "bounds.configApplyMs=";
+    const auto apply = platform::parse_settings(
+        text + "2500.75\n", member_kind::balancer, "s.conf");
+    REQUIRE(apply.ok());
+    CHECK(apply->configuration_deadline == milliseconds(2500));
+    for (const std::string bound : {"flowMaxS", "graceS"})
+    {
+        CAPTURE(bound);
+        CHECK(parse(bound, "soon").status().message() ==
+              "s.conf:15: bounds." + bound +
+                  " is not a non-negative number: soon");
+        CHECK(parse(bound, "-0.5").status().message() ==
+              "s.conf:15: bounds." + bound +
+                  " is not a non-negative number: -0.5");
+        CHECK(parse(bound, "1e300").status().message() ==
+              "s.conf:15: bounds." + bound + " is too large: 1e300");
+    }
+}
+
 // Guards against: a watch whose connection has gone silent was given up only
 // after the time in which a configuration must take effect.
 TEST_CASE("a silent watch is noticed early enough to read the configuration")
