Hedging: extra opening packets for slow openings, off by default

Cause: a flow whose server has just frozen, or whose opening packet is lost, waits until the caller's own copy after 200 ms (Part E of docs/design/hard-load.md).

Change: opening_hedger (balancer) keeps first opening packets of routes that may be repeated and sends slow ones once more to the second agent, within a budget and only while the service is calm; the agent starts the flow in an idle slot or drops the packet. The second agent tells the balancer once its server has answered, and announces itself as owner once the caller has acknowledged it. Without the argument no packet is kept and nothing is measured or sent.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -18,6 +18,7 @@
         briardrum::bench::add_flood(app),
         briardrum::bench::add_gossip(app),
         briardrum::bench::add_queueing(app),
+        briardrum::bench::add_hedging(app),
     };
     CLI11_PARSE(app, argc, argv);
     for (const auto& item : measures)
--- a/bench/measures.hpp
+++ b/bench/measures.hpp
@@ -26,6 +26,7 @@
 auto add_flood(CLI::App& app) -> measure;
 auto add_gossip(CLI::App& app) -> measure;
 auto add_queueing(CLI::App& app) -> measure;
+auto add_hedging(CLI::App& app) -> measure;
 
 } // namespace briardrum::bench
 
--- a/bench/rig/packets/packet_caller.cpp
+++ b/bench/rig/packets/packet_caller.cpp
@@ -98,7 +98,11 @@
     const auto normal = radius * std::cos(angle);
     const auto log_factor =
         work_spread * normal - work_spread * work_spread / 2;
-    const auto factor = std::min(work_factor_max, std::exp(log_factor));
+    auto factor = std::min(work_factor_max, std::exp(log_factor));
+    if (load.tail_share > 0 && random_.chance(load.tail_share))
+    {
+        factor *= load.tail_factor;
+    }
     const auto ms = static_cast<double>(load.work.count) * factor;
     return milliseconds(std::max<std::int64_t>(1, std::lround(ms)));
 }
--- a/bench/rig/packets/packet_caller.hpp
+++ b/bench/rig/packets/packet_caller.hpp
@@ -29,6 +29,9 @@
     // when its flow never opened or the server refused it unrun.
     std::uint32_t retries = 2;
     bool repeatable = true;
+    // Share of requests that take longer than drawn, by this factor.
+    double tail_share = 0;
+    double tail_factor = 1;
 };
 
 // How the requests of one load ended.
--- a/bench/rig/packets/packet_fleet.cpp
+++ b/bench/rig/packets/packet_fleet.cpp
@@ -16,6 +16,7 @@
 constexpr millis caller_delay = milliseconds(3);
 constexpr millis far_delay = milliseconds(1);
 constexpr millis tick_interval = milliseconds(20);
+constexpr millis balancer_tick_interval = milliseconds(50);
 constexpr std::size_t data_centres = 3;
 // Heartbeats begin soon after the start and follow at the interval.
 constexpr millis first_heartbeat = milliseconds(10);
@@ -112,6 +113,10 @@
         }
     }
     tick_agents();
+    if (settings_.hedging.enabled)
+    {
+        tick_balancers();
+    }
 }
 
 packet_fleet::~packet_fleet() = default;
@@ -122,7 +127,9 @@
     out->version = 1;
     for (const auto& load : settings_.loads)
     {
-        out->routes[load.route] = {{{load.service_name, 1}}, load.urgency};
+        route item{{{load.service_name, 1}}, load.urgency};
+        item.may_repeat = load.repeatable;
+        out->routes[load.route] = std::move(item);
     }
     return out;
 }
@@ -177,6 +184,7 @@
     };
     it.core = std::make_unique<packet_balancer>(*it.members, std::move(hooks));
     it.core->adopt(events_.now(), routes_);
+    it.core->configure_hedging(events_.now(), settings_.hedging);
     introduce(*it.members);
     announce(record);
 }
@@ -348,7 +356,7 @@
 {
     auto& agent = *agents_[index];
     auto& server = *servers_[index];
-    if (agent.up && server.is_up())
+    if (agent.up && server.is_up() && !server.is_frozen())
     {
         auto heartbeat = server.next_heartbeat();
         heartbeat.service_name = agent.service_name;
@@ -381,6 +389,41 @@
                   });
 }
 
+auto packet_fleet::tick_balancers() -> void
+{
+    for (const auto& it : balancers_)
+    {
+        if (it->core != nullptr)
+        {
+            it->core->tick(events_.now());
+        }
+    }
+    events_.after(balancer_tick_interval,
+                  [this]
+                  {
+                      tick_balancers();
+                  });
+}
+
+// No random number is drawn for a link without a loss of its own, so that runs
+// without such links stay as they are.
+auto packet_fleet::is_lost(const endpoint& from, const endpoint& to) -> bool
+{
+    if (random_.chance(settings_.loss))
+    {
+        return true;
+    }
+    for (const auto& end : {from, to})
+    {
+        const auto it = agent_losses_.find(end.address);
+        if (it != agent_losses_.end() && random_.chance(it->second))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 auto packet_fleet::delay_between(const endpoint& a, const endpoint& b) const
     -> millis
 {
@@ -392,7 +435,7 @@
                           const flow_packet& packet) -> void
 {
     ++messages_;
-    if (random_.chance(settings_.loss))
+    if (is_lost(from, to))
     {
         return;
     }
@@ -424,7 +467,7 @@
                                   const control_message& message) -> void
 {
     ++messages_;
-    if (random_.chance(settings_.loss))
+    if (is_lost(from, to))
     {
         return;
     }
@@ -474,9 +517,10 @@
                   });
 }
 
-auto packet_fleet::to_caller(const flow_packet& packet, std::size_t) -> void
+auto packet_fleet::to_caller(const flow_packet& packet, std::size_t agent_index)
+    -> void
 {
-    if (random_.chance(settings_.loss))
+    if (is_lost(agent_address(agent_index), packet.destination))
     {
         return;
     }
@@ -598,6 +642,40 @@
     servers_[index]->set_slowness(factor);
 }
 
+auto packet_fleet::freeze_server(std::size_t index, millis span) -> void
+{
+    servers_[index]->set_frozen(true);
+    events_.after(span,
+                  [this, index]
+                  {
+                      servers_[index]->set_frozen(false);
+                  });
+}
+
+auto packet_fleet::set_agent_loss(std::size_t index, double share) -> void
+{
+    agent_losses_[agent_address(index).address] = share;
+}
+
+auto packet_fleet::hedges() const -> hedge_sums
+{
+    hedge_sums out;
+    for (const auto& it : balancers_)
+    {
+        out.openings += it->core->counters().opened;
+        out.sent += it->core->hedging().sent;
+        out.over_budget += it->core->hedging().over_budget;
+        out.not_calm += it->core->hedging().not_calm;
+    }
+    for (const auto& it : agents_)
+    {
+        out.started += it->core->counters().hedges_started;
+        out.won += it->core->counters().hedges_won;
+        out.refused_by_load += it->core->counters().hedges_refused_by_load;
+    }
+    return out;
+}
+
 auto packet_fleet::server_count() const -> std::size_t
 {
     return servers_.size();
--- a/bench/rig/packets/packet_fleet.hpp
+++ b/bench/rig/packets/packet_fleet.hpp
@@ -34,6 +34,20 @@
     millis view_lag_max = milliseconds(300);
     server_model server;
     packet_agent_settings agent;
+    // Extra opening packets of the balancers; off by default.
+    hedging_settings hedging;
+};
+
+// Sums over all processes of a packet_fleet.
+struct hedge_sums
+{
+    std::uint64_t openings = 0;
+    std::uint64_t sent = 0;
+    std::uint64_t over_budget = 0;
+    std::uint64_t not_calm = 0;
+    std::uint64_t started = 0;
+    std::uint64_t won = 0;
+    std::uint64_t refused_by_load = 0;
 };
 
 // Balancers, agents, backend servers and callers of packet flows on virtual
@@ -78,6 +92,14 @@
     // The server answers this much slower, or does not answer at all.
     auto slow_server(std::size_t index, double factor) -> void;
 
+    // The server stops for this time.
+    auto freeze_server(std::size_t index, millis span) -> void;
+
+    // Share of packets to and from this agent that are lost.
+    auto set_agent_loss(std::size_t index, double share) -> void;
+
+    auto hedges() const -> hedge_sums;
+
     auto server_count() const -> std::size_t;
     auto caller() -> packet_caller&;
 
@@ -105,6 +127,8 @@
     auto registered_agents() const -> std::vector<listed_agent>;
     auto beat(std::size_t index) -> void;
     auto tick_agents() -> void;
+    auto tick_balancers() -> void;
+    auto is_lost(const endpoint& from, const endpoint& to) -> bool;
     auto make_hooks(std::size_t agent_index) -> packet_hooks;
     auto send(const endpoint& to, const flow_packet& packet, bool labelled)
         -> void;
@@ -125,6 +149,8 @@
     std::vector<std::unique_ptr<agent_process>> agents_;
     std::vector<std::unique_ptr<packet_server>> servers_;
     std::map<member_id, member_record> records_;
+    // By address of the agent's VM.
+    std::map<std::uint32_t, double> agent_losses_;
     std::shared_ptr<const route_table> routes_;
     std::unique_ptr<packet_caller> caller_;
     std::uint64_t messages_ = 0;
--- a/bench/rig/packets/packet_server.cpp
+++ b/bench/rig/packets/packet_server.cpp
@@ -48,6 +48,28 @@
     slowness_ = factor;
 }
 
+auto packet_server::set_frozen(bool frozen) -> void
+{
+    frozen_ = frozen;
+    if (frozen_)
+    {
+        return;
+    }
+    for (const auto& it : std::exchange(completed_, {}))
+    {
+        finish(it, life_);
+    }
+    for (const auto& it : std::exchange(received_, {}))
+    {
+        on_packet(it);
+    }
+}
+
+auto packet_server::is_frozen() const -> bool
+{
+    return frozen_;
+}
+
 auto packet_server::drain() -> void
 {
     draining_ = true;
@@ -90,6 +112,11 @@
     {
         return;
     }
+    if (frozen_)
+    {
+        received_.push_back(packet);
+        return;
+    }
     const auto flow = flow_from_caller(packet);
     if (packet.opens)
     {
@@ -170,6 +197,11 @@
     {
         return;
     }
+    if (frozen_)
+    {
+        completed_.push_back(request);
+        return;
+    }
     --running_;
     answer(request, false, answer_bytes);
     flows_.erase(flow_from_caller(request));
--- a/bench/rig/packets/packet_server.hpp
+++ b/bench/rig/packets/packet_server.hpp
@@ -48,7 +48,11 @@
     auto lose() -> void;
     auto set_slowness(double factor) -> void;
 
+    // A frozen server neither answers nor works; packets wait for it.
+    auto set_frozen(bool frozen) -> void;
+
     auto is_up() const -> bool;
+    auto is_frozen() const -> bool;
     auto holds(const flow_key& flow) const -> bool;
     auto runs() const -> std::uint64_t;
     auto slots() const -> std::uint32_t;
@@ -84,6 +88,10 @@
     std::uint64_t runs_ = 0;
     millis started_at_;
     double slowness_ = 1;
+    bool frozen_ = false;
+    // Received, and completed, while the server was frozen.
+    std::vector<flow_packet> received_;
+    std::vector<flow_packet> completed_;
     bool up_ = false;
     bool draining_ = false;
 };
--- a/modules/config/settings/json_checker.cpp
+++ b/modules/config/settings/json_checker.cpp
@@ -172,6 +172,41 @@
     return value.get<std::uint64_t>();
 }
 
+auto json_checker::optional_real(std::string_view field, real_range range,
+                                 double default_value) -> double
+{
+    const auto* found = find_field(field);
+    if (found == nullptr)
+    {
+        return default_value;
+    }
+    const auto value = found->is_number() ? found->get<double>() : range.min;
+    if (!found->is_number() || value < range.min || value > range.max)
+    {
+        add_problem(field, describe_json(*found),
+                    "a number from " + json(range.min).dump() + " to " +
+                        json(range.max).dump());
+        return range.min;
+    }
+    return value;
+}
+
+auto json_checker::flag(std::string_view field) -> bool
+{
+    constexpr std::string_view allowed = "true or false";
+    const auto* found = find_required_field(field, allowed);
+    if (found == nullptr)
+    {
+        return false;
+    }
+    if (!found->is_boolean())
+    {
+        add_problem(field, describe_json(*found), std::string(allowed));
+        return false;
+    }
+    return found->get<bool>();
+}
+
 auto json_checker::address(std::string_view field) -> endpoint
 {
     const auto* found = find_required_field(field, address_rule);
--- a/modules/config/settings/json_checker.hpp
+++ b/modules/config/settings/json_checker.hpp
@@ -23,6 +23,14 @@
     std::uint64_t max = 0;
 };
 
+// Range of allowed values of a field that may be a fraction, both bounds
+// inclusive.
+struct real_range
+{
+    double min = 0;
+    double max = 0;
+};
+
 // Reads the fields of one JSON object and reports every problem with the path
 // of the field.
 //
@@ -51,6 +59,13 @@
     auto optional_number(std::string_view field, number_range range,
                          std::uint64_t default_value) -> std::uint64_t;
 
+    // A number within the range, which may be a fraction.
+    auto optional_real(std::string_view field, real_range range,
+                       double default_value) -> double;
+
+    // true or false.
+    auto flag(std::string_view field) -> bool;
+
     // An address such as "10.0.0.1:5683"; neither address nor port may be 0.
     auto address(std::string_view field) -> endpoint;
 
--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -207,6 +207,13 @@
     out.counter("packets_returned_total", it.returned);
     out.counter("packets_wrong_service_total", it.wrong_service);
     out.counter("packets_dropped_total", it.dropped);
+    out.counter("hedges_started_total", it.hedges_started);
+    out.counter("hedges_won_total", it.hedges_won);
+    out.counter("hedges_lost_total", it.hedges_lost);
+    out.counter("hedges_refused_total", it.hedges_refused_by_load,
+                {"reason", "no_idle_slot"});
+    out.counter("hedges_refused_total", it.hedges_of_known_flows,
+                {"reason", "flow_known"});
     out.counter("heartbeats_refused_total", bad_heartbeats_);
     out.histogram("flow_wait_ms", waits_);
     out.histogram("flow_answer_ms", answers_);
--- a/modules/io/daemons/packet_balancer_daemon.cpp
+++ b/modules/io/daemons/packet_balancer_daemon.cpp
@@ -26,8 +26,18 @@
 {
 }
 
+auto packet_balancer_daemon::use_hedging(load_hedging load) -> void
+{
+    load_hedging_ = std::move(load);
+}
+
 auto packet_balancer_daemon::start() -> absl::Status
 {
+    const auto hedging = reload_hedging(clock::now());
+    if (!hedging.ok())
+    {
+        return hedging;
+    }
     process_.use_directory(*store_);
     return process_.start(make_hooks());
 }
@@ -60,6 +70,11 @@
     out.loop.on_tick = [this](millis now)
     {
         configuration_.tick(now);
+        core_.tick(now);
+    };
+    out.loop.on_reload = [this](millis now)
+    {
+        reload_hedging(now).IgnoreError();
     };
     // The fabric is told by the readiness answer and goes on sending for a
     // while: a stopping balancer forwards until its time is over.
@@ -74,6 +89,32 @@
     return out;
 }
 
+// Settings that fail their check leave those before in force.
+auto packet_balancer_daemon::reload_hedging(millis now) -> absl::Status
+{
+    if (!load_hedging_)
+    {
+        return absl::OkStatus();
+    }
+    const auto next = load_hedging_();
+    if (!next.ok())
+    {
+        process_.events()(
+            event("hedging_refused", event_level::error)
+                .with("why", std::string(next.status().message())));
+        return next.status();
+    }
+    core_.configure_hedging(now, *next);
+    process_.events()(
+        event("hedging_configured")
+            .with("enabled", next->enabled ? "yes" : "no")
+            .with("percentile", std::to_string(next->percentile))
+            .with("share", std::to_string(next->share))
+            .with("cap", std::uint64_t{next->cap})
+            .with("floor_ms", static_cast<std::uint64_t>(next->floor.count)));
+    return absl::OkStatus();
+}
+
 auto packet_balancer_daemon::on_packet(const flow_packet& packet) -> void
 {
     if (packet.label.kind == label_kind::hint)
@@ -117,6 +158,14 @@
     out.counter("packets_dropped_total", it.no_route, {"reason", "no_route"});
     out.counter("packets_dropped_total", it.no_agent, {"reason", "no_agent"});
     out.counter("hints_learnt_total", it.hints_learnt);
+    const auto& hedging = core_.hedging();
+    out.counter("hedges_sent_total", hedging.sent);
+    out.counter("hedges_withheld_total", hedging.over_budget,
+                {"reason", "budget"});
+    out.counter("hedges_withheld_total", hedging.not_calm,
+                {"reason", "not_calm"});
+    out.counter("hedges_withheld_total", hedging.no_target,
+                {"reason", "no_target"});
     out.counter("configurations_refused_total", bad_configurations_);
     out.gauge("routes_version", core_.version());
     out.gauge("store_answers", configuration_.is_connected() ? 1 : 0);
--- a/modules/io/daemons/packet_balancer_daemon.hpp
+++ b/modules/io/daemons/packet_balancer_daemon.hpp
@@ -19,6 +19,9 @@
         read_configuration;
 };
 
+// Reads the settings for extra opening packets; empty if there are none.
+using load_hedging = std::function<absl::StatusOr<hedging_settings>()>;
+
 // The process that takes callers' packets from the fabric and forwards them
 // to agents: packet_balancer with sockets, the store and membership.
 class packet_balancer_daemon
@@ -28,6 +31,10 @@
                            packet_format format, load_packet_settings load,
                            packet_balancer_store from);
 
+    // Call before start(): the settings for extra opening packets are read at
+    // start and on SIGHUP.
+    auto use_hedging(load_hedging load) -> void;
+
     auto start() -> absl::Status;
     auto run() -> int;
 
@@ -35,6 +42,7 @@
     auto make_hooks() -> packet_process_hooks;
     auto on_packet(const flow_packet& packet) -> void;
     auto on_configuration(const std::string& text, store_revision at) -> void;
+    auto reload_hedging(millis now) -> absl::Status;
     auto write_metrics(metrics_text& out) const -> void;
 
     packet_process process_;
@@ -43,6 +51,7 @@
     packet_balancer core_;
     document_watch configuration_;
     std::uint64_t bad_configurations_ = 0;
+    load_hedging load_hedging_;
 };
 
 } // namespace briardrum
--- a/modules/io/daemons/packet_process.cpp
+++ b/modules/io/daemons/packet_process.cpp
@@ -164,6 +164,10 @@
     hooks.on_reload = [this](millis now)
     {
         reload(now);
+        if (hooks_.loop.on_reload)
+        {
+            hooks_.loop.on_reload(now);
+        }
     };
     hooks.on_leaving = [this](millis now)
     {
--- a/modules/packets/agent/agent_state.cpp
+++ b/modules/packets/agent/agent_state.cpp
@@ -126,6 +126,7 @@
     {
         return;
     }
+    counters.hedges_lost += is_undecided_hedge(*row) ? 1 : 0;
     admission.remove(flow);
     set_phase(now, *row, flow_phase::probing);
     flows.erase(flow);
--- a/modules/packets/agent/flow_admission.cpp
+++ b/modules/packets/agent/flow_admission.cpp
@@ -68,6 +68,11 @@
     return waiting_.empty() && has_capacity(settings_.overcommit_offered);
 }
 
+auto flow_admission::has_idle_slot() const -> bool
+{
+    return waiting_.empty() && has_capacity(0);
+}
+
 auto flow_admission::decide(millis now, std::uint8_t urgency,
                             millis first_sent_at) const -> admission_decision
 {
--- a/modules/packets/agent/flow_admission.hpp
+++ b/modules/packets/agent/flow_admission.hpp
@@ -78,6 +78,10 @@
     // Returns true if the server has a free slot for a newly offered flow.
     auto has_free_slot() const -> bool;
 
+    // Returns true if the server has a slot that neither a flow uses nor one
+    // waits for.
+    auto has_idle_slot() const -> bool;
+
     // Decides on an opening packet for which no agent has a free slot.
     auto decide(millis now, std::uint8_t urgency, millis first_sent_at) const
         -> admission_decision;
--- a/modules/packets/agent/flow_opener.cpp
+++ b/modules/packets/agent/flow_opener.cpp
@@ -42,6 +42,7 @@
                             const flow_packet& packet) -> void
 {
     const auto flow = flow_from_caller(packet);
+    drop_stale_hedge(now, flow);
     if (auto* row = state_.flows.find(flow))
     {
         on_repeated_opening(now, flow, *row);
@@ -61,6 +62,68 @@
     offer(now, packet);
 }
 
+auto flow_opener::on_hedge(millis now, const endpoint& from,
+                           const flow_packet& packet) -> void
+{
+    const auto flow = flow_from_caller(packet);
+    const auto known = state_.flows.find(flow) != nullptr;
+    if (known || !may_start_hedge(now))
+    {
+        ++(known ? state_.counters.hedges_of_known_flows
+                 : state_.counters.hedges_refused_by_load);
+        state_.emit(
+            state_.flow_event("hedge_refused", flow)
+                .with("reason", known ? "flow_known" : "no_idle_slot")
+                .with("waited_ms", std::uint64_t{packet.label.waited_ms}));
+        return;
+    }
+    ++state_.counters.hedges_started;
+    start_flow(now, packet).hedged_by = from;
+}
+
+// The row stays if the server has the opening packet: its answer is still to
+// come, and must not be taken for that of an unknown flow.
+auto flow_opener::on_opened_elsewhere(millis now, const flow_packet& notice)
+    -> void
+{
+    const auto flow = flow_from_caller(notice);
+    auto* row = state_.flows.find(flow);
+    if (notice.label.best_position != packet_label::hedged_mark ||
+        row == nullptr || row->confirmed)
+    {
+        return;
+    }
+    if (row->phase == flow_phase::waiting)
+    {
+        state_.remove_flow(now, flow);
+    }
+    else if (row->phase == flow_phase::opening)
+    {
+        state_.set_phase(now, *row, flow_phase::idle);
+        start_queued_flows(now);
+    }
+}
+
+// A server that leaves opening packets unanswered is retried only with packets
+// that other agents can take over.
+auto flow_opener::may_start_hedge(millis now) const -> bool
+{
+    return state_.accepts_new_flows(now) && !state_.server.is_silent(now) &&
+           state_.admission.has_idle_slot();
+}
+
+// The caller sends a copy because neither server's answer has reached it. The
+// copy is treated as if the hedge had not been sent.
+auto flow_opener::drop_stale_hedge(millis now, const flow_key& flow) -> void
+{
+    const auto* row = state_.flows.find(flow);
+    if (row != nullptr && is_undecided_hedge(*row) &&
+        now - row->known_since >= opening_resend_delay)
+    {
+        state_.remove_flow(now, flow);
+    }
+}
+
 auto flow_opener::on_repeated_opening(millis now, const flow_key& flow,
                                       owned_flow& row) -> void
 {
@@ -246,7 +309,8 @@
     notices_.announce(flow, row);
 }
 
-auto flow_opener::start_flow(millis now, const flow_packet& packet) -> void
+auto flow_opener::start_flow(millis now, const flow_packet& packet)
+    -> owned_flow&
 {
     const auto flow = flow_from_caller(packet);
     // The caller passed on a packet without checking its service.
@@ -259,6 +323,7 @@
     state_.server.on_opening_sent(now);
     state_.hooks.send_to_server(packet);
     notices_.announce(flow, row);
+    return row;
 }
 
 auto flow_opener::start_queued_flows(millis now) -> void
@@ -322,9 +387,13 @@
     state_.server.on_opening_refused(now);
     state_.emit(state_.flow_event("opening_refused", flow)
                     .with("hops", std::uint64_t{packet.label.hops}));
+    const auto hedge = is_undecided_hedge(row);
     state_.remove_flow(now, flow);
     redistribute_queued_flows(now);
-    forward_offer(now, packet);
+    if (!hedge)
+    {
+        forward_offer(now, packet);
+    }
 }
 
 // Sends a reset only for a first opening packet whose retransmission cannot be
--- a/modules/packets/agent/flow_opener.hpp
+++ b/modules/packets/agent/flow_opener.hpp
@@ -23,6 +23,15 @@
     auto on_packet(millis now, const endpoint& from, const flow_packet& packet)
         -> void;
 
+    // Call for each hedge: starts the flow if a slot is idle, and otherwise
+    // drops the packet.
+    auto on_hedge(millis now, const endpoint& from, const flow_packet& packet)
+        -> void;
+
+    // Call for each notice of an owner. If the flow was opened by a hedge, its
+    // slot or its place in the queue here is given back.
+    auto on_opened_elsewhere(millis now, const flow_packet& notice) -> void;
+
     // The server returned an opening packet because it is full.
     auto on_returned(millis now, const flow_packet& packet) -> void;
 
@@ -55,7 +64,9 @@
     auto settle(millis now, const flow_packet& packet) -> void;
     auto pass_on(millis now, const flow_packet& packet) -> void;
     auto enqueue(millis now, const flow_packet& packet) -> void;
-    auto start_flow(millis now, const flow_packet& packet) -> void;
+    auto start_flow(millis now, const flow_packet& packet) -> owned_flow&;
+    auto drop_stale_hedge(millis now, const flow_key& flow) -> void;
+    auto may_start_hedge(millis now) const -> bool;
     auto refuse(millis now, const flow_packet& opening, std::string_view reason)
         -> void;
 
--- a/modules/packets/agent/open_flow_router.cpp
+++ b/modules/packets/agent/open_flow_router.cpp
@@ -29,6 +29,11 @@
     const auto flow = flow_from_caller(packet);
     if (auto* row = state_.flows.find(flow))
     {
+        if (is_lost_hedge(*row, packet))
+        {
+            on_lost_hedge(now, from, flow, packet);
+            return;
+        }
         if (packet.label.kind == label_kind::locate)
         {
             answer_search(from, *row, packet);
@@ -99,13 +104,6 @@
                                owned_flow& row, const flow_packet& packet)
     -> void
 {
-    if (row.phase == flow_phase::waiting)
-    {
-        // The server has not seen this flow, so the packet belongs to an older
-        // flow.
-        ++state_.counters.dropped;
-        return;
-    }
     if (is_open_at_another_server(row, packet))
     {
         state_.emit(state_.flow_event("flow_not_ours", flow)
@@ -116,11 +114,23 @@
         locator_.search(now, packet);
         return;
     }
+    if (row.phase == flow_phase::waiting)
+    {
+        // The server has not seen this flow, so the packet belongs to an older
+        // flow.
+        ++state_.counters.dropped;
+        return;
+    }
     row.last_used = now;
     if (packet.acknowledges)
     {
+        const auto undecided = is_undecided_hedge(row);
         row.confirmed = row.confirmed || row.server_sequence.has_value();
         row.caller_acknowledged = packet.acknowledged;
+        if (undecided && row.confirmed)
+        {
+            on_hedge_won(now, flow, row);
+        }
     }
     if (packet.payload_bytes > 0)
     {
@@ -141,14 +151,60 @@
 auto open_flow_router::is_open_at_another_server(
     const owned_flow& row, const flow_packet& packet) const -> bool
 {
-    if (row.confirmed || !packet.acknowledges ||
-        !row.server_sequence.has_value())
+    if (row.confirmed || !packet.acknowledges)
     {
         return false;
     }
+    if (!row.server_sequence.has_value())
+    {
+        // The answer that the caller acknowledges did not pass this agent. Only
+        // a hedge makes that likely enough to search for the owner at once.
+        return row.opening.opens && packet.label.kind == label_kind::forward &&
+               packet.label.best_position == packet_label::hedged_mark;
+    }
     return packet.acknowledged - *row.server_sequence > handshake_window;
 }
 
+// The caller acknowledges an answer that this agent's server has not given.
+auto open_flow_router::is_lost_hedge(const owned_flow& row,
+                                     const flow_packet& packet) const -> bool
+{
+    return is_undecided_hedge(row) && packet.acknowledges &&
+           (!row.server_sequence.has_value() ||
+            is_open_at_another_server(row, packet));
+}
+
+// The owner has usually been announced to this agent, which is one of the first
+// of the flow's order.
+auto open_flow_router::on_lost_hedge(millis now, const endpoint& from,
+                                     const flow_key& flow,
+                                     const flow_packet& packet) -> void
+{
+    state_.emit(state_.flow_event("hedge_lost", flow)
+                    .with("kind", to_string(packet.label.kind)));
+    state_.remove_flow(now, flow);
+    opener_.start_queued_flows(now);
+    if (packet.label.kind == label_kind::locate)
+    {
+        notices_.answer(from, packet, label_kind::unowned);
+        return;
+    }
+    const auto* owner = state_.redirects.touch(now, flow);
+    if (owner == nullptr || !state_.relay(from, packet, *owner))
+    {
+        locator_.search(now, packet);
+    }
+}
+
+auto open_flow_router::on_hedge_won(millis now, const flow_key& flow,
+                                    owned_flow& row) -> void
+{
+    ++state_.counters.hedges_won;
+    state_.emit(state_.flow_event("hedge_won", flow)
+                    .with("since_ms", as_count(now - row.known_since)));
+    notices_.announce(flow, row);
+}
+
 // A full packet is followed by more of the request: the server starts to work
 // once the last packet, which is not full, has arrived.
 auto open_flow_router::note_request(millis now, owned_flow& row,
--- a/modules/packets/agent/open_flow_router.hpp
+++ b/modules/packets/agent/open_flow_router.hpp
@@ -29,6 +29,12 @@
         -> void;
     auto is_open_at_another_server(const owned_flow& row,
                                    const flow_packet& packet) const -> bool;
+    auto is_lost_hedge(const owned_flow& row, const flow_packet& packet) const
+        -> bool;
+    auto on_lost_hedge(millis now, const endpoint& from, const flow_key& flow,
+                       const flow_packet& packet) -> void;
+    auto on_hedge_won(millis now, const flow_key& flow, owned_flow& row)
+        -> void;
     auto answer_search(const endpoint& from, owned_flow& row,
                        const flow_packet& packet) -> void;
     auto probe_server(millis now, const flow_packet& packet) -> owned_flow&;
--- a/modules/packets/agent/owned_flow.cpp
+++ b/modules/packets/agent/owned_flow.cpp
@@ -23,4 +23,9 @@
     return "probing";
 }
 
+auto is_undecided_hedge(const owned_flow& row) -> bool
+{
+    return row.opening.label.kind == label_kind::hedge && !row.confirmed;
+}
+
 } // namespace briardrum
--- a/modules/packets/agent/owned_flow.hpp
+++ b/modules/packets/agent/owned_flow.hpp
@@ -65,8 +65,14 @@
     // order, to which balancers send packets without a hint and retransmitted
     // opening packets.
     std::array<member_id, 3> notified{};
+    // The balancer that sent the opening packet as a hedge; none otherwise.
+    endpoint hedged_by;
 };
 
+// Returns true if the flow was started by a hedge and the caller has not
+// acknowledged this server: it may be open at another one.
+auto is_undecided_hedge(const owned_flow& row) -> bool;
+
 } // namespace briardrum
 
 #endif
--- a/modules/packets/agent/ownership_notices.cpp
+++ b/modules/packets/agent/ownership_notices.cpp
@@ -7,11 +7,19 @@
 
 auto ownership_notices::announce(const flow_key& flow, owned_flow& row) -> void
 {
+    // The flow may be open at another server.
+    if (is_undecided_hedge(row))
+    {
+        return;
+    }
     const auto order = state_.order_of(flow);
     const auto self = state_.members.self().id;
     packet_label label;
     label.kind = label_kind::owned;
     label.service = state_.tag;
+    label.best_position = row.opening.label.kind == label_kind::hedge
+                              ? packet_label::hedged_mark
+                              : 0;
     const auto notify = [&](std::size_t position, member_id& notified)
     {
         const auto id = position < order.size() ? order[position] : 0;
@@ -50,6 +58,15 @@
     }
 }
 
+auto ownership_notices::report_hedge(const owned_flow& row) -> void
+{
+    packet_label label;
+    label.kind = label_kind::hint;
+    label.best_position = packet_label::hedged_mark;
+    label.owner_address = state_.members.self().data_address.address;
+    state_.hooks.send_notice(row.hedged_by, row.caller, row.route, label);
+}
+
 auto ownership_notices::answer(const endpoint& from, const flow_packet& packet,
                                label_kind kind) -> void
 {
--- a/modules/packets/agent/ownership_notices.hpp
+++ b/modules/packets/agent/ownership_notices.hpp
@@ -21,6 +21,9 @@
     // Call on each tick: announces every flow again after members have changed.
     auto reannounce() -> void;
 
+    // Tells the balancer that sent a hedge that the server has answered it.
+    auto report_hedge(const owned_flow& row) -> void;
+
     // Answers a search with owned or unowned.
     auto answer(const endpoint& from, const flow_packet& packet,
                 label_kind kind) -> void;
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -44,12 +44,17 @@
     }
     if (packet.label.kind == label_kind::owned)
     {
+        opener_.on_opened_elsewhere(now, packet);
         locator_.on_owned(now, from, packet);
     }
     else if (packet.label.kind == label_kind::unowned)
     {
         locator_.on_unowned(now, from, packet);
     }
+    else if (packet.opens && packet.label.kind == label_kind::hedge)
+    {
+        opener_.on_hedge(now, from, packet);
+    }
     else if (packet.opens)
     {
         locator_.on_opened(flow_from_caller(packet));
--- a/modules/packets/agent/packet_agent_counters.hpp
+++ b/modules/packets/agent/packet_agent_counters.hpp
@@ -29,6 +29,14 @@
     std::uint64_t returned = 0;
     std::uint64_t wrong_service = 0;
     std::uint64_t dropped = 0;
+    // Flows started by a hedge, those that the caller opened here and those
+    // that it opened elsewhere or not at all, and hedges refused because no
+    // slot was idle or the flow was known.
+    std::uint64_t hedges_started = 0;
+    std::uint64_t hedges_won = 0;
+    std::uint64_t hedges_lost = 0;
+    std::uint64_t hedges_refused_by_load = 0;
+    std::uint64_t hedges_of_known_flows = 0;
 };
 
 } // namespace briardrum
--- a/modules/packets/agent/server_packet_handler.cpp
+++ b/modules/packets/agent/server_packet_handler.cpp
@@ -71,8 +71,13 @@
     row.last_used = now;
     if (packet.opens)
     {
+        const auto first = !row.server_sequence.has_value();
         row.server_sequence = packet.sequence;
         state_.server.on_opening_answered(now);
+        if (first && is_undecided_hedge(row))
+        {
+            notices_.report_hedge(row);
+        }
         return;
     }
     if (row.phase == flow_phase::probing)
@@ -138,6 +143,12 @@
     again.label.service = state_.tag;
     again.label.kind = label_kind::relay;
     state_.remove_flow(now, flow);
+    if (packet.opens && is_undecided_hedge(row))
+    {
+        // The caller's own opening packets go on without it.
+        state_.server.on_opening_answered(now);
+        return;
+    }
     if (packet.opens)
     {
         opener_.on_returned(now, again);
--- a/modules/packets/balancer/packet_balancer.cpp
+++ b/modules/packets/balancer/packet_balancer.cpp
@@ -7,7 +7,8 @@
 {
 
 packet_balancer::packet_balancer(const member_view& members, packet_hooks hooks)
-    : members_(members), hooks_(std::move(hooks)), hints_(hint_capacity)
+    : members_(members), hooks_(std::move(hooks)), hints_(hint_capacity),
+      hedger_(make_hedging_hooks())
 {
 }
 
@@ -54,13 +55,19 @@
                   {
                       return next.find(item.first) == nullptr;
                   });
+    // Whether requests may be repeated does not affect where flows are.
+    const auto places_alike = [](const route& a, const route& b)
+    {
+        return a.targets == b.targets && a.urgency == b.urgency;
+    };
     const auto& former = routes_ == nullptr ? next : *routes_;
     for (const auto& [address, old] : former.routes)
     {
         const auto* current = next.find(address);
-        const auto is_certain = routes_ == nullptr
-                                    ? old.targets.size() == 1
-                                    : current != nullptr && *current == old;
+        const auto is_certain =
+            routes_ == nullptr
+                ? old.targets.size() == 1
+                : current != nullptr && places_alike(*current, old);
         if (current != nullptr && !is_certain)
         {
             remember_targets(now, address, old);
@@ -113,6 +120,7 @@
         ++counters_.no_configuration;
         return;
     }
+    hedger_.tick(now);
     const auto* matched = routes_->find(packet.destination);
     if (matched == nullptr)
     {
@@ -149,6 +157,10 @@
     }
     send(target->address, packet, matched, service_name);
     hints_.learn(flow, target->id);
+    if (matched.may_repeat)
+    {
+        hedger_.on_opening(now, service_name, target->id, packet);
+    }
     if (packet.retransmissions > 0)
     {
         report_unanswered_agent(now, targets, packet, flow);
@@ -183,12 +195,14 @@
                                         const route& matched,
                                         const flow_key& flow) -> void
 {
-    if (forward_to_hint(packet, matched, flow))
+    const auto twice = hedger_.on_next_packet(now, flow) ? opened_twice::yes
+                                                         : opened_twice::no;
+    if (forward_to_hint(packet, matched, flow, twice))
     {
         return;
     }
     const auto& current = matched.service_of(flow);
-    send_to_home(packet, matched, current, flow);
+    send_to_home(packet, matched, current, flow, twice);
     const auto it = former_targets_.find(packet.destination);
     if (it == former_targets_.end())
     {
@@ -199,14 +213,15 @@
         if (item.until > now && item.service_name != current)
         {
             ++counters_.to_former_service;
-            send_to_home(packet, matched, item.service_name, flow);
+            send_to_home(packet, matched, item.service_name, flow, twice);
         }
     }
 }
 
 auto packet_balancer::forward_to_hint(const flow_packet& packet,
                                       const route& matched,
-                                      const flow_key& flow) -> bool
+                                      const flow_key& flow, opened_twice twice)
+    -> bool
 {
     const auto id = hints_.find(flow);
     const auto* record = id == 0 ? nullptr : members_.find(id);
@@ -215,14 +230,15 @@
         return false;
     }
     ++counters_.by_hint;
-    send(record->data_address, packet, matched, record->service_name);
+    send(record->data_address, packet, matched, record->service_name, twice);
     return true;
 }
 
 auto packet_balancer::send_to_home(const flow_packet& packet,
                                    const route& matched,
                                    const std::string& service_name,
-                                   const flow_key& flow) -> void
+                                   const flow_key& flow, opened_twice twice)
+    -> void
 {
     // A suspect home agent is skipped; owners also notify the next agents of
     // the order.
@@ -233,12 +249,13 @@
         return;
     }
     ++counters_.by_home;
-    send(home->address, packet, matched, service_name);
+    send(home->address, packet, matched, service_name, twice);
 }
 
 auto packet_balancer::send(const endpoint& to, const flow_packet& packet,
                            const route& matched,
-                           const std::string& service_name) -> void
+                           const std::string& service_name, opened_twice twice)
+    -> void
 {
     packet_label label;
     label.kind = label_kind::forward;
@@ -246,9 +263,79 @@
         std::min<std::uint8_t>(matched.urgency, packet_label::hops_max);
     label.service = service_tag_of(service_name);
     label.hops = std::min(packet.retransmissions, packet_label::hops_max);
+    label.best_position =
+        twice == opened_twice::yes ? packet_label::hedged_mark : 0;
     hooks_.send_labelled(to, packet, label);
 }
 
+auto packet_balancer::make_hedging_hooks() -> hedging_hooks
+{
+    return {[this](millis now, const kept_opening& opening)
+            {
+                return send_hedge(now, opening);
+            },
+            hooks_.events};
+}
+
+// The configuration or the members may have changed since the opening packet
+// was sent: the route is read again, and the second agent is the first of the
+// present order that has not received the packet.
+auto packet_balancer::send_hedge(millis now, const kept_opening& opening)
+    -> bool
+{
+    const auto flow = flow_from_caller(opening.packet);
+    const auto* matched = routes_->find(opening.packet.destination);
+    if (matched == nullptr || !matched->may_repeat ||
+        matched->service_of(flow) != opening.service_name)
+    {
+        return false;
+    }
+    const auto& targets = targets_of(opening.service_name);
+    const auto* target = targets.placement_target(flow, 0);
+    if (target != nullptr && target->id == opening.agent)
+    {
+        target = targets.placement_target(flow, 1);
+    }
+    if (target == nullptr || target->suspect || target->id == opening.agent)
+    {
+        return false;
+    }
+    const auto waited = (now - opening.opened_at).count;
+    packet_label label;
+    label.kind = label_kind::hedge;
+    label.urgency =
+        std::min<std::uint8_t>(matched->urgency, packet_label::hops_max);
+    label.service = service_tag_of(opening.service_name);
+    label.hops = 1;
+    label.waited_ms = static_cast<std::uint16_t>(waited);
+    hooks_.send_labelled(target->address, opening.packet, label);
+    if (hooks_.events)
+    {
+        hooks_.events(event("hedge_sent")
+                          .with("flow", to_string(flow.caller))
+                          .with("service", opening.service_name)
+                          .with("agent", to_string(target->address))
+                          .with("waited_ms", static_cast<std::uint64_t>(waited))
+                          .with("version", version()));
+    }
+    return true;
+}
+
+auto packet_balancer::configure_hedging(millis now,
+                                        const hedging_settings& settings)
+    -> void
+{
+    hedger_.configure(now, settings);
+}
+
+auto packet_balancer::tick(millis now) -> void
+{
+    if (routes_ != nullptr)
+    {
+        hedger_.tick(now);
+    }
+}
+
 auto packet_balancer::refuse_unknown_route(const flow_packet& packet) -> void
 {
     ++counters_.no_route;
@@ -269,6 +356,13 @@
 
 auto packet_balancer::on_hint(const flow_packet& notice) -> void
 {
+    // The second agent's server has answered the opening packet. Once the
+    // caller's next packet has passed, the agents tell which one owns the flow.
+    if (notice.label.best_position == packet_label::hedged_mark &&
+        !hedger_.is_kept(flow_from_caller(notice)))
+    {
+        return;
+    }
     for (const auto& record : members_.records())
     {
         if (record.data_address.address == notice.label.owner_address &&
@@ -321,4 +415,9 @@
     return counters_;
 }
 
+auto packet_balancer::hedging() const -> const hedging_counters&
+{
+    return hedger_.counters();
+}
+
 } // namespace briardrum
--- a/modules/packets/balancer/packet_balancer.hpp
+++ b/modules/packets/balancer/packet_balancer.hpp
@@ -2,6 +2,7 @@
 #define BRIARDRUM_PACKETS_BALANCER_PACKET_BALANCER_HPP
 
 #include "membership/membership.hpp"
+#include "packets/balancer/opening_hedger.hpp"
 #include "packets/balancer/packet_balancer_counters.hpp"
 #include "packets/model/packet_hooks.hpp"
 #include "packets/model/route_table.hpp"
@@ -30,6 +31,8 @@
     static constexpr millis former_service_time = seconds(60);
 
     packet_balancer(const member_view& members, packet_hooks hooks);
+    packet_balancer(const packet_balancer&) = delete;
+    auto operator=(const packet_balancer&) -> packet_balancer& = delete;
 
     // Adopts a route table with a higher version. Returns false for any other.
     auto adopt(millis now, std::shared_ptr<const route_table> next) -> bool;
@@ -43,13 +46,28 @@
     // any other message is ignored.
     auto on_control(const control_message& message) -> void;
 
+    // Switches extra opening packets on or off. They are off until then.
+    auto configure_hedging(millis now, const hedging_settings& settings)
+        -> void;
+
+    // Sends extra opening packets that are due.
+    auto tick(millis now) -> void;
+
     // Returns true if there is a route table and at least one agent is ready.
     auto is_ready() -> bool;
 
     auto version() const -> configuration_version;
     auto counters() const -> const packet_balancer_counters&;
+    auto hedging() const -> const hedging_counters&;
 
 private:
+    // Whether the opening packet of a flow was sent to a second agent.
+    enum class opened_twice : bool
+    {
+        no,
+        yes,
+    };
+
     struct former_target
     {
         std::string service_name;
@@ -69,12 +87,15 @@
     auto forward_open_flow(millis now, const flow_packet& packet,
                            const route& matched, const flow_key& flow) -> void;
     auto forward_to_hint(const flow_packet& packet, const route& matched,
-                         const flow_key& flow) -> bool;
+                         const flow_key& flow, opened_twice twice) -> bool;
     auto send_to_home(const flow_packet& packet, const route& matched,
-                      const std::string& service_name, const flow_key& flow)
-        -> void;
+                      const std::string& service_name, const flow_key& flow,
+                      opened_twice twice) -> void;
     auto send(const endpoint& to, const flow_packet& packet,
-              const route& matched, const std::string& service_name) -> void;
+              const route& matched, const std::string& service_name,
+              opened_twice twice = opened_twice::no) -> void;
+    auto make_hedging_hooks() -> hedging_hooks;
+    auto send_hedge(millis now, const kept_opening& opening) -> bool;
     auto refuse_unknown_route(const flow_packet& packet) -> void;
 
     const member_view& members_;
@@ -84,6 +105,7 @@
     std::map<endpoint, std::vector<former_target>> former_targets_;
     hint_cache hints_;
     packet_balancer_counters counters_;
+    opening_hedger hedger_;
 };
 
 } // namespace briardrum
--- a/modules/packets/model/packet_label.cpp
+++ b/modules/packets/model/packet_label.cpp
@@ -26,9 +26,11 @@
     case label_kind::hint:
         return "hint";
     case label_kind::unowned:
+        return "unowned";
+    case label_kind::hedge:
         break;
     }
-    return "unowned";
+    return "hedge";
 }
 
 auto service_tag_of(std::string_view service_name) -> service_tag
--- a/modules/packets/model/packet_label.hpp
+++ b/modules/packets/model/packet_label.hpp
@@ -35,10 +35,14 @@
     // Notice without a payload, in answer to locate: the sender is certain that
     // neither it nor its server holds the flow.
     unowned = 8,
+    // A balancer sends an opening packet to a second agent because the flow
+    // opens slowly: the receiver starts the flow in an idle slot or drops the
+    // packet.
+    hedge = 9,
 };
 
 constexpr std::uint8_t label_kind_last =
-    static_cast<std::uint8_t>(label_kind::unowned);
+    static_cast<std::uint8_t>(label_kind::hedge);
 
 auto to_string(label_kind kind) -> std::string_view;
 
@@ -57,6 +61,9 @@
     static constexpr std::uint8_t hops_max = 15;
     static constexpr std::uint8_t best_wait_max = 255;
     static constexpr std::uint16_t waited_ms_max = 65535;
+    // Value of best_position in the first packet of a flow after its opening
+    // packet was sent to a second agent, and in notices of the second agent.
+    static constexpr std::uint8_t hedged_mark = 1;
     static constexpr millis best_wait_unit = milliseconds(4);
 
     label_kind kind = label_kind::none;
--- a/modules/packets/model/route_table.hpp
+++ b/modules/packets/model/route_table.hpp
@@ -26,6 +26,9 @@
     std::vector<route_target> targets;
     // 0 is highest.
     std::uint8_t urgency = 0;
+    // Set if the route's requests may be repeated, so that an opening packet
+    // may be sent to a second server.
+    bool may_repeat = false;
 
     auto operator==(const route&) const -> bool = default;
 
