--- a/modules/packets/model/route_table.hpp
+++ b/modules/packets/model/route_table.hpp
@@ -28,6 +28,9 @@
     std::uint8_t urgency = 0;
     // Time for which callers wait for an answer; zero if it is not known.
     millis deadline = {};
+    // Set if the route's requests may be repeated, so that an opening packet
+    // may be sent to a second server.
+    bool may_repeat = false;
 
     auto operator==(const route&) const -> bool = default;
 
