Control message for the placement policy

Cause: members have to pass on which data centres are evacuated, and the limits on cold servers. Change: placement_policy_message in the schema and the codec.

--- a/modules/wire/codec/control_decode.cpp
+++ b/modules/wire/codec/control_decode.cpp
@@ -4,7 +4,9 @@
 #include "wire/codec/decode_guard.hpp"
 #include "wire/codec/schema_check.hpp"
 
+#include <algorithm>
 #include <control_generated.h>
+#include <limits>
 
 namespace briardrum
 {
@@ -247,6 +249,56 @@
         read_vector(guard, from.absent(), sizeof(schema::flow), read_flow)};
 }
 
+auto read_name(decode_guard& guard, const flatbuffers::String& from)
+    -> std::string
+{
+    return guard.text(to_view(&from), member_text_bytes_max);
+}
+
+auto read_limit(decode_guard& /*guard*/, const schema::warm_up_limit& from)
+    -> service_warm_up
+{
+    return {from.service(), from.per_second_milli()};
+}
+
+auto is_sorted_policy(const placement_policy& policy) -> bool
+{
+    const auto not_before = [](const auto& a, const auto& b)
+    {
+        return a >= b;
+    };
+    const auto not_before_by_service =
+        [](const service_warm_up& a, const service_warm_up& b)
+    {
+        return a.service >= b.service;
+    };
+    return std::adjacent_find(policy.evacuated.begin(), policy.evacuated.end(),
+                              not_before) == policy.evacuated.end() &&
+           std::adjacent_find(policy.warm_up.begin(), policy.warm_up.end(),
+                              not_before_by_service) == policy.warm_up.end();
+}
+
+auto read(decode_guard& guard, const schema::placement_policy& from)
+    -> control_body
+{
+    // An entry of the vector and the length of the name.
+    constexpr std::size_t name_bytes_min = 8;
+    placement_policy policy;
+    policy.era = from.era();
+    policy.revision = guard.number(from.revision(), 0,
+                                   std::numeric_limits<std::int64_t>::max());
+    policy.evacuated =
+        read_vector(guard, from.evacuated(), name_bytes_min, read_name);
+    policy.warm_up = read_vector(guard, from.warm_up(),
+                                 sizeof(schema::warm_up_limit), read_limit);
+    const auto entries = policy.evacuated.size() + policy.warm_up.size();
+    const auto entries_max = policy.revision == 0 ? 0 : policy_entries_max;
+    guard.number(static_cast<std::int64_t>(entries), 0,
+                 static_cast<std::int64_t>(entries_max));
+    guard.number(is_sorted_policy(policy) ? 1 : 0, 1, 1);
+    return placement_policy_message{std::move(policy)};
+}
+
 // Returns the body, or std::nullopt for a type unknown to this version.
 auto read_body(decode_guard& guard, const schema::control& from)
     -> std::optional<control_body>
@@ -278,6 +330,8 @@
         return read(guard, *from.body_as_flow_query());
     case kind::flow_reply:
         return read(guard, *from.body_as_flow_reply());
+    case kind::placement_policy:
+        return read(guard, *from.body_as_placement_policy());
     case kind::NONE:
         break;
     }
--- a/modules/wire/codec/control_encode.cpp
+++ b/modules/wire/codec/control_encode.cpp
@@ -249,6 +249,24 @@
                 .Union()};
 }
 
+auto write(FlatBufferBuilder& out, const placement_policy_message& message)
+    -> encoded_body
+{
+    const auto& policy = message.policy;
+    std::vector<schema::warm_up_limit> limits;
+    limits.reserve(policy.warm_up.size());
+    for (const auto& item : policy.warm_up)
+    {
+        limits.emplace_back(item.service, item.requests_per_second_milli);
+    }
+    const auto evacuated = out.CreateVectorOfStrings(policy.evacuated);
+    const auto warm_up = out.CreateVectorOfStructs(limits);
+    return {schema::control_body::placement_policy,
+            schema::Createplacement_policy(out, policy.era, policy.revision,
+                                           evacuated, warm_up)
+                .Union()};
+}
+
 } // namespace
 
 auto encode_control(const control_message& message) -> byte_buffer
--- a/modules/wire/messages/control_message.hpp
+++ b/modules/wire/messages/control_message.hpp
@@ -4,6 +4,7 @@
 #include "config/model/configuration_change.hpp"
 #include "wire/messages/flow_record.hpp"
 #include "wire/messages/member_record.hpp"
+#include "wire/messages/placement_policy.hpp"
 
 #include <string>
 #include <variant>
@@ -143,11 +144,21 @@
     auto operator==(const flow_reply_message&) const -> bool = default;
 };
 
+// The newest placement policy of the sender. Revision 0 requests that of the
+// receiver; such a message has no content.
+struct placement_policy_message
+{
+    placement_policy policy;
+
+    auto operator==(const placement_policy_message&) const -> bool = default;
+};
+
 using control_body =
     std::variant<gossip_message, probe_message, probe_ack_message,
                  redirects_message, hand_over_message, transfer_ack_message,
                  configuration_message, configuration_request, load_message,
-                 heartbeat_message, flow_query_message, flow_reply_message>;
+                 heartbeat_message, flow_query_message, flow_reply_message,
+                 placement_policy_message>;
 
 // A control message with its sender. Every message type is idempotent:
 // receiving it twice has the same effect as receiving it once.
--- a/tests/support/control_samples.cpp
+++ b/tests/support/control_samples.cpp
@@ -66,7 +66,9 @@
         load_message{17, 18, 19, 20},
         heartbeat_message{21},
         flow_query_message{22, {key, key}},
-        flow_reply_message{23, 24, {key}, {key, key}}};
+        flow_reply_message{23, 24, {key}, {key, key}},
+        placement_policy_message{
+            {25, 26, {"marsala", "trapani"}, {{27, 2500}, {28, 1}}}}};
     std::vector<control_message> messages;
     messages.reserve(bodies.size());
     for (const auto& body : bodies)
--- a/tests/unit/wire_control_test.cpp
+++ b/tests/unit/wire_control_test.cpp
@@ -137,6 +137,45 @@
     CHECK(kind_of_decode(message) == error_kind::malformed);
 }
 
+// Guards against: members that compare policies of the same revision as equal
+// hold different ones, because one of them was damaged or unsorted.
+TEST_CASE("placement policies with values out of range are rejected")
+{
+    const auto good =
+        std::get<placement_policy_message>(control_samples().at(12).body);
+    CHECK(kind_of_decode(good) == error_kind::none);
+    // A request: no revision and no content.
+    CHECK(kind_of_decode(placement_policy_message{}) == error_kind::none);
+    auto bad = good;
+    bad.policy.revision = -1;
+    CHECK(kind_of_decode(bad) == error_kind::malformed);
+    bad.policy.revision = 0;
+    CHECK(kind_of_decode(bad) == error_kind::malformed);
+    bad = good;
+    std::swap(bad.policy.evacuated[0], bad.policy.evacuated[1]);
+    CHECK(kind_of_decode(bad) == error_kind::malformed);
+    bad = good;
+    bad.policy.evacuated[1] = bad.policy.evacuated[0];
+    CHECK(kind_of_decode(bad) == error_kind::malformed);
+    bad = good;
+    std::swap(bad.policy.warm_up[0], bad.policy.warm_up[1]);
+    CHECK(kind_of_decode(bad) == error_kind::malformed);
+    bad = good;
+    bad.policy.warm_up[1].service = bad.policy.warm_up[0].service;
+    CHECK(kind_of_decode(bad) == error_kind::malformed);
+    bad = good;
+    bad.policy.evacuated[1].assign(member_text_bytes_max + 1, 'z');
+    CHECK(kind_of_decode(bad) == error_kind::malformed);
+    bad.policy.evacuated[1].pop_back();
+    CHECK(kind_of_decode(bad) == error_kind::none);
+    bad = good;
+    for (std::uint32_t n = 0; n < policy_entries_max; ++n)
+    {
+        bad.policy.warm_up.push_back({100 + n, 1});
+    }
+    CHECK(kind_of_decode(bad) == error_kind::malformed);
+}
+
 TEST_CASE("overlapping message parts cannot decode to more than its length")
 {
     // All entries of the vector of a valid update are redirected to the same
