--- a/modules/node/store/document_watch.cpp
+++ b/modules/node/store/document_watch.cpp
@@ -50,7 +50,8 @@
     state_ = connection_state::reading;
     next_immediate_read_ = now_ + settings_.retry_interval;
     store_range request;
-    request.key = settings_.key;
+    request.key = watched_key();
+    request.range_end = watched_end();
     store_.range(
         request,
         [this, alive = alive_](const absl::StatusOr<store_range_result>& result)
@@ -62,6 +63,17 @@
         });
 }
 
+auto document_watch::watched_key() const -> const std::string&
+{
+    return settings_.prefix.empty() ? settings_.key : settings_.prefix;
+}
+
+auto document_watch::watched_end() const -> std::string
+{
+    return settings_.prefix.empty() ? std::string()
+                                    : prefix_end(settings_.prefix);
+}
+
 auto document_watch::on_range(const absl::StatusOr<store_range_result>& result)
     -> void
 {
@@ -74,7 +86,14 @@
     mark_connected(result->revision);
     for (const auto& it : result->values)
     {
-        deliver_if_newer(it.value, it.mod_revision);
+        if (settings_.prefix.empty() || it.key == settings_.key)
+        {
+            deliver_if_newer(it.value, it.mod_revision);
+        }
+    }
+    if (hooks_.on_read)
+    {
+        hooks_.on_read(*result);
     }
     watch_start_revision_ = result->revision + 1;
     watch();
@@ -84,7 +103,8 @@
 {
     state_ = connection_state::watching;
     store_watch request;
-    request.key = settings_.key;
+    request.key = watched_key();
+    request.range_end = watched_end();
     request.start_revision = watch_start_revision_;
     watch_ = store_.watch(
         request,
@@ -136,6 +156,10 @@
             deliver_if_newer(it.value, it.mod_revision);
         }
     }
+    if (hooks_.on_events)
+    {
+        hooks_.on_events(*batch);
+    }
 }
 
 auto document_watch::read_again() -> void
--- a/modules/node/store/document_watch.hpp
+++ b/modules/node/store/document_watch.hpp
@@ -12,6 +12,9 @@
 struct document_watch_settings
 {
     std::string key;
+    // If not empty, all keys with this prefix, which key has as well, are read
+    // and watched in the same calls.
+    std::string prefix = {};
     // Delay between a failed call and the next, with exponential backoff. Short
     // compared with the time in which a change must take effect, and long
     // enough that the store copes when all processes retry at once.
@@ -28,11 +31,16 @@
     // Called when the store has come back from an older copy of its data: what
     // this process wrote may be gone. May be empty.
     std::function<void()> on_restored = nullptr;
+    // Called with each complete read, and with each batch of events that
+    // continues it, after on_value. May be empty.
+    std::function<void(const store_range_result&)> on_read = nullptr;
+    std::function<void(const store_watch_batch&)> on_events = nullptr;
 };
 
-// Follows one key of the store: reads it, watches it from that revision, and
-// reads it again whenever the watch ends or the store was restored from an
-// older copy. The last value stays valid while the store is unreachable.
+// Follows one key of the store, and on request its neighbours with a common
+// prefix: reads it, watches it from that revision, and reads it again whenever
+// the watch ends or the store was restored from an older copy. The last value
+// stays valid while the store is unreachable.
 //
 // Call tick() about every 100 ms. Call refresh() to read immediately, for
 // example when another process is known to have a newer value.
@@ -69,6 +77,9 @@
     };
 
     auto read() -> void;
+    // The key or prefix that is read and watched.
+    auto watched_key() const -> const std::string&;
+    auto watched_end() const -> std::string;
     auto on_range(const absl::StatusOr<store_range_result>& result) -> void;
     auto watch() -> void;
     auto on_batch(const absl::StatusOr<store_watch_batch>& batch) -> void;
