Evacuation of a data centre: agents start no flow there

Cause: operators evacuate data centres by keys in the store. Change: with bounds.evacuateMs, balancers watch op/ and take the evacuations from it; an agent starts no flow before it knows the policy or while its data centre is evacuated, and offers what it has queued to others. Queued flows have used up their offers, so their hops begin anew, or they would be dropped. When all agents of a service drain during an evacuation, the first copy of an opening packet is refused, balancers stay ready, and packets of open flows without a hint go to one of the draining agents. warmupPerS of the configuration reaches the policy with bounds.warmupOvershoot. Polls of the store are shortened to leave 2 s of the deadline for spreading.

--- a/bench/rig/packets/packet_fleet.cpp
+++ b/bench/rig/packets/packet_fleet.cpp
@@ -215,6 +215,7 @@
     introduce(*it.members);
     announce(record);
     it.core->on_registered_agents(events_.now(), registered_agents());
+    tell_policy(index);
     const auto life = it.life;
     events_.after(first_heartbeat,
                   [this, index, life]
@@ -262,6 +263,11 @@
                 load.service_name != agents_[agent_index]->service_name;
             misrouted_ += foreign ? 1 : 0;
         }
+        const auto flow = flow_from_caller(packet);
+        if (packet.opens && !servers_[agent_index]->holds(flow))
+        {
+            ++opened_in_[data_centre_of(agent_index)];
+        }
         auto copy = packet;
         copy.label = {};
         events_.after({},
@@ -293,9 +299,7 @@
     known = record;
     const auto tell = [&](auto& process)
     {
-        const auto lag = static_cast<std::int64_t>(random_.below(
-            static_cast<std::uint64_t>(settings_.view_lag_max.count) + 1));
-        events_.after(milliseconds(lag),
+        events_.after(random_lag(),
                       [this, &process, record]
                       {
                           if (process.members != nullptr)
@@ -319,6 +323,55 @@
     }
 }
 
+auto packet_fleet::random_lag() -> millis
+{
+    return milliseconds(static_cast<std::int64_t>(random_.below(
+        static_cast<std::uint64_t>(settings_.view_lag_max.count) + 1)));
+}
+
+auto packet_fleet::tell_policy(std::size_t agent_index) -> void
+{
+    if (policy_.revision == 0)
+    {
+        return;
+    }
+    events_.after(random_lag(),
+                  [this, agent_index, policy = policy_]
+                  {
+                      // A later policy has its own message, which may be
+                      // faster.
+                      if (policy == policy_)
+                      {
+                          agents_[agent_index]->core->on_policy(events_.now(),
+                                                                policy);
+                      }
+                  });
+}
+
+auto packet_fleet::evacuate(std::vector<std::string> data_centres) -> void
+{
+    policy_.evacuated = std::move(data_centres);
+    ++policy_.revision;
+    for (const auto& it : balancers_)
+    {
+        if (it->core != nullptr)
+        {
+            it->core->set_evacuating(!policy_.evacuated.empty());
+        }
+    }
+    for (std::size_t n = 0; n < agents_.size(); ++n)
+    {
+        tell_policy(n);
+    }
+}
+
+auto packet_fleet::opened_in(const std::string& data_centre) const
+    -> std::uint64_t
+{
+    const auto it = opened_in_.find(data_centre);
+    return it == opened_in_.end() ? 0 : it->second;
+}
+
 auto packet_fleet::introduce(member_view& to) -> void
 {
     for (const auto& [id, record] : records_)
--- a/bench/rig/packets/packet_fleet.hpp
+++ b/bench/rig/packets/packet_fleet.hpp
@@ -75,6 +75,12 @@
     // Every process and server is gone, and back after this time.
     auto lose_everything(millis down) -> void;
 
+    // Operators evacuate these data centres, or none. Balancers and agents
+    // learn it after at most view_lag_max each.
+    auto evacuate(std::vector<std::string> data_centres) -> void;
+    // Flows that were opened at servers of a data centre so far.
+    auto opened_in(const std::string& data_centre) const -> std::uint64_t;
+
     // The server answers this much slower, or does not answer at all.
     auto slow_server(std::size_t index, double factor) -> void;
 
@@ -102,6 +108,8 @@
     auto make_agent(std::size_t index) -> void;
     auto announce(const member_record& record) -> void;
     auto introduce(member_view& to) -> void;
+    auto tell_policy(std::size_t agent_index) -> void;
+    auto random_lag() -> millis;
     auto registered_agents() const -> std::vector<listed_agent>;
     auto beat(std::size_t index) -> void;
     auto tick_agents() -> void;
@@ -127,6 +135,8 @@
     std::map<member_id, member_record> records_;
     std::shared_ptr<const route_table> routes_;
     std::unique_ptr<packet_caller> caller_;
+    placement_policy policy_;
+    std::map<std::string, std::uint64_t> opened_in_;
     std::uint64_t messages_ = 0;
     std::uint64_t misrouted_ = 0;
     std::uint64_t broken_flows_ = 0;
--- a/modules/io/daemons/member_metrics.cpp
+++ b/modules/io/daemons/member_metrics.cpp
@@ -31,6 +31,21 @@
     out.gauge("configuration_version", members.self().held_version);
 }
 
+auto append_policy_metrics(metrics_text& out, const policy_spreader& policy)
+    -> void
+{
+    const auto& held = policy.policy();
+    const auto& counters = policy.counters();
+    out.gauge("policy_era", held.era);
+    out.gauge("policy_revision", static_cast<std::uint64_t>(held.revision));
+    out.gauge("data_centres_evacuated", held.evacuated.size());
+    out.gauge("services_limited_while_cold", held.warm_up.size());
+    out.counter("policy_changes_total", counters.changes);
+    out.counter("policy_messages_sent_total", counters.sent);
+    out.counter("policy_requests_sent_total", counters.requests);
+    out.counter("policies_outdated_total", counters.outdated);
+}
+
 auto append_socket_metrics(metrics_text& out, std::string_view socket,
                            const udp_counters& counters) -> void
 {
--- a/modules/io/daemons/member_metrics.hpp
+++ b/modules/io/daemons/member_metrics.hpp
@@ -15,6 +15,9 @@
     -> void;
 
 // Adds a UDP socket's counters, <socket>_datagrams_received_total and so on.
+auto append_policy_metrics(metrics_text& out, const policy_spreader& policy)
+    -> void;
+
 auto append_socket_metrics(metrics_text& out, std::string_view socket,
                            const udp_counters& counters) -> void;
 
--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -15,6 +15,7 @@
     out.service_name = settings.service_name;
     out.heartbeat_interval = settings.heartbeat_interval;
     out.flow_lifetime = settings.flow_lifetime;
+    out.needs_policy = settings.evacuation_deadline.has_value();
     return out;
 }
 
@@ -116,9 +117,13 @@
     {
         core_.on_registered_agents(now, agents);
     };
+    out.on_policy = [this](millis now, const placement_policy& policy)
+    {
+        core_.on_policy(now, policy);
+    };
     out.is_ready = [this]
     {
-        return core_.server().is_known();
+        return core_.server().is_known() && !core_.awaits_policy();
     };
     out.metrics = [this](metrics_text& text)
     {
@@ -213,6 +218,11 @@
     out.gauge("flows", core_.flow_count());
     out.gauge("flows_busy", core_.admission().busy());
     out.gauge("flows_waiting", core_.admission().waiting());
+    if (settings_.evacuation_deadline.has_value())
+    {
+        out.gauge("agent_evacuated", core_.is_evacuated() ? 1 : 0);
+        out.gauge("agent_awaits_policy", core_.awaits_policy() ? 1 : 0);
+    }
 }
 
 } // namespace briardrum
--- a/modules/io/daemons/packet_balancer_daemon.cpp
+++ b/modules/io/daemons/packet_balancer_daemon.cpp
@@ -9,23 +9,61 @@
     const packet_process_settings& settings, packet_format format,
     load_packet_settings load, packet_balancer_store from)
     : process_(settings, std::move(format), std::move(load)),
+      limits_cold_servers_(settings.limits_cold_servers),
       from_(std::move(from)),
       store_(from_.open(process_.context(), process_.events())),
       core_(process_.members(), process_.make_packet_hooks()),
-      configuration_(*store_, {from_.configuration_key},
-                     {[this](const std::string& text, store_revision at)
-                      {
-                          on_configuration(text, at);
-                      },
-                      process_.events(),
-                      [this]
-                      {
-                          process_.on_store_restored();
-                      }},
+      policy_source_(from_.evacuation_prefix,
+                     [this](const stored_policy& stored)
+                     {
+                         on_stored_policy(stored);
+                     }),
+      configuration_(*store_, make_watch_settings(), make_watch_hooks(),
                      member_id_of(settings.name))
 {
 }
 
+auto packet_balancer_daemon::make_watch_settings() -> document_watch_settings
+{
+    document_watch_settings out;
+    out.key = from_.configuration_key;
+    out.prefix = process_.policy() == nullptr ? "" : from_.operators_prefix;
+    return out;
+}
+
+auto packet_balancer_daemon::make_watch_hooks() -> document_watch_hooks
+{
+    document_watch_hooks out;
+    out.on_value = [this](const std::string& text, store_revision at)
+    {
+        on_configuration(text, at);
+    };
+    out.events = process_.events();
+    out.on_restored = [this]
+    {
+        process_.on_store_restored();
+    };
+    if (process_.policy() == nullptr)
+    {
+        return out;
+    }
+    out.on_read = [this](const store_range_result& result)
+    {
+        policy_source_.on_read(result);
+    };
+    out.on_events = [this](const store_watch_batch& batch)
+    {
+        policy_source_.on_events(batch);
+    };
+    return out;
+}
+
+auto packet_balancer_daemon::on_stored_policy(const stored_policy& stored)
+    -> void
+{
+    process_.policy()->on_store(clock::now(), stored);
+}
+
 auto packet_balancer_daemon::start() -> absl::Status
 {
     process_.use_directory(*store_);
@@ -49,6 +87,11 @@
     {
         core_.on_control(message);
     };
+    out.on_policy = [this](millis, const placement_policy& policy)
+    {
+        core_.set_evacuating(!policy.evacuated.empty());
+        policy_source_.set_known_limits(policy.warm_up);
+    };
     out.is_ready = [this]
     {
         return core_.is_ready();
@@ -97,6 +140,9 @@
                 .with("why", std::string(table.status().message())));
         return;
     }
+    policy_source_.on_limits(
+        limits_cold_servers_ ? table->warm_up : std::vector<service_warm_up>{},
+        at);
     const auto now = clock::now();
     const auto next = std::make_shared<const route_table>(*std::move(table));
     if (core_.adopt(now, next))
@@ -116,6 +162,11 @@
                 {"reason", "no_configuration"});
     out.counter("packets_dropped_total", it.no_route, {"reason", "no_route"});
     out.counter("packets_dropped_total", it.no_agent, {"reason", "no_agent"});
+    if (process_.policy() != nullptr)
+    {
+        out.counter("flows_refused_total", it.evacuated,
+                    {"reason", "evacuated"});
+    }
     out.counter("hints_learnt_total", it.hints_learnt);
     out.counter("configurations_refused_total", bad_configurations_);
     out.gauge("routes_version", core_.version());
--- a/modules/io/daemons/packet_process.cpp
+++ b/modules/io/daemons/packet_process.cpp
@@ -91,10 +91,39 @@
                         hooks_.on_member_departed(now, record);
                     }
                 }},
-               member_id_of(settings_.name))
+               member_id_of(settings_.name)),
+      policy_(make_policy_spreader())
 {
 }
 
+auto packet_process::make_policy_spreader() -> std::unique_ptr<policy_spreader>
+{
+    if (!settings_.evacuation_deadline.has_value())
+    {
+        return nullptr;
+    }
+    policy_spreader_hooks hooks;
+    hooks.send = [this](const endpoint& to, placement_policy_message message)
+    {
+        const auto& self = members_.self();
+        if (!members_.is_replaced())
+        {
+            send_control(to, {self.id, self.incarnation, std::move(message)});
+        }
+    };
+    hooks.on_policy = [this](millis now, const placement_policy& policy)
+    {
+        if (hooks_.on_policy)
+        {
+            hooks_.on_policy(now, policy);
+        }
+    };
+    hooks.events = loop_.log().sink();
+    return std::make_unique<policy_spreader>(
+        members_, policy_spreader_settings{}, std::move(hooks),
+        member_id_of(settings_.name));
+}
+
 auto packet_process::own_record() const -> member_record
 {
     member_record out;
@@ -237,6 +266,10 @@
             registrar_->tick(now);
         }
     }
+    if (policy_ != nullptr)
+    {
+        policy_->tick(now);
+    }
     if (now >= next_reload_)
     {
         reload(now);
@@ -386,6 +419,15 @@
                 .with("why", std::string(message.status().message())));
         return;
     }
+    if (const auto* policy =
+            std::get_if<placement_policy_message>(&message->body))
+    {
+        if (policy_ != nullptr)
+        {
+            policy_->on_message(clock::now(), message->from, from, *policy);
+        }
+        return;
+    }
     if (!members_.on_control(clock::now(), *message) && hooks_.on_control)
     {
         hooks_.on_control(*message);
@@ -413,6 +455,10 @@
     append_socket_metrics(out, "packets", packets_.counters());
     append_socket_metrics(out, "members", control_.counters());
     append_member_metrics(out, members_);
+    if (policy_ != nullptr)
+    {
+        append_policy_metrics(out, *policy_);
+    }
     out.counter("packets_malformed_total", bad_packets_);
     out.counter("control_malformed_total", bad_control_);
     return out.text();
@@ -433,6 +479,11 @@
     return members_;
 }
 
+auto packet_process::policy() const -> policy_spreader*
+{
+    return policy_.get();
+}
+
 auto packet_process::is_stopping() const -> bool
 {
     return loop_.is_stopping();
--- a/modules/io/daemons/packet_process.hpp
+++ b/modules/io/daemons/packet_process.hpp
@@ -34,6 +34,8 @@
     // All agents that are registered in the store; may be empty.
     std::function<void(millis now, std::span<const listed_agent>)>
         on_registered_agents;
+    // A placement policy that differs from the one before; may be empty.
+    std::function<void(millis now, const placement_policy&)> on_policy;
     std::function<bool()> is_ready;
     std::function<void(metrics_text&)> metrics;
 };
@@ -73,6 +75,10 @@
     // The store has come back from an older copy of its data.
     auto on_store_restored() -> void;
 
+    // Exchanges the placement policy with other members; nullptr if the
+    // settings do not call for one.
+    auto policy() const -> policy_spreader*;
+
     // Reads one datagram and hands it on; a malformed one is counted and
     // logged.
     auto read_packets(
@@ -86,6 +92,7 @@
     auto send_control_part(const endpoint& to, const control_message& message)
         -> void;
     auto on_control(const endpoint& from, byte_view bytes) -> void;
+    auto make_policy_spreader() -> std::unique_ptr<policy_spreader>;
     auto answer(const http_request& request) -> http_response;
     auto write_metrics() -> std::string;
     auto tick(millis now) -> void;
@@ -101,6 +108,7 @@
     udp_socket control_;
     http_server http_;
     member_view members_;
+    std::unique_ptr<policy_spreader> policy_;
     std::unique_ptr<member_directory> directory_;
     // Balancers only.
     std::unique_ptr<agent_registrar> registrar_;
--- a/modules/io/daemons/packet_process_settings.hpp
+++ b/modules/io/daemons/packet_process_settings.hpp
@@ -6,6 +6,7 @@
 
 #include <absl/status/statusor.h>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,11 @@
     // Time after its acknowledgement by the store in which a configuration must
     // be in force.
     millis configuration_deadline = seconds(3);
+    // Time after its acknowledgement by the store from which a data centre that
+    // is evacuated gets no new flows. Without it there is no placement policy.
+    std::optional<millis> evacuation_deadline;
+    // The placement policy limits the new flows of cold servers.
+    bool limits_cold_servers = false;
     event_level log_level = event_level::info;
     millis stop_bound = seconds(5);
 
@@ -49,6 +55,10 @@
     auto operator==(const packet_process_settings&) const -> bool = default;
 };
 
+// Returns the time in which a change in the store has to be delivered to this
+// process even if the connection of its watch has gone silent.
+auto store_delivery_deadline(const packet_process_settings& settings) -> millis;
+
 // Reads the settings anew.
 using load_packet_settings =
     std::function<absl::StatusOr<packet_process_settings>()>;
--- a/modules/packets/agent/agent_state.cpp
+++ b/modules/packets/agent/agent_state.cpp
@@ -217,10 +217,42 @@
     }
 }
 
-// Returns true if the server and this process both accept new flows.
+// Returns true if the server, this process and the policy all accept new flows.
 auto agent_state::accepts_new_flows(millis now) const -> bool
 {
-    return !draining && server.accepts_new_flows(now);
+    return !draining && !is_held_by_policy() && server.accepts_new_flows(now);
+}
+
+auto agent_state::is_evacuated() const -> bool
+{
+    return policy.has_value() && std::binary_search(policy->evacuated.begin(),
+                                                    policy->evacuated.end(),
+                                                    members.self().data_centre);
+}
+
+auto agent_state::awaits_policy() const -> bool
+{
+    return settings.needs_policy && !policy.has_value();
+}
+
+auto agent_state::is_held_by_policy() const -> bool
+{
+    return is_evacuated() || awaits_policy();
+}
+
+auto agent_state::is_service_evacuated() const -> bool
+{
+    if (!policy.has_value() || policy->evacuated.empty())
+    {
+        return false;
+    }
+    const auto agents = members.agents_of(server.service_name());
+    return std::all_of(agents.begin(), agents.end(),
+                       [&](member_id id)
+                       {
+                           return members.find(id)->state ==
+                                  member_state::draining;
+                       });
 }
 
 } // namespace briardrum
--- a/modules/packets/agent/agent_state.hpp
+++ b/modules/packets/agent/agent_state.hpp
@@ -35,6 +35,17 @@
     auto remember_offer(millis now, const flow_packet& opening, member_id to)
         -> void;
     auto accepts_new_flows(millis now) const -> bool;
+    // The placement policy: whether it excludes this agent's data centre, and
+    // whether it is needed and not known yet.
+    auto is_evacuated() const -> bool;
+    auto awaits_policy() const -> bool;
+    // Returns true if the placement policy keeps this agent from starting
+    // flows.
+    auto is_held_by_policy() const -> bool;
+    // Returns true if every live agent of the service drains while a data
+    // centre is evacuated. Agents that are joining or suspect may take flows
+    // shortly.
+    auto is_service_evacuated() const -> bool;
     auto may_have_unknown_flows(millis now) const -> bool;
 
     // Members.
@@ -64,6 +75,8 @@
     // Where opening packets were sent on to, until their owners are known.
     redirect_table offers;
     packet_agent_counters counters;
+    // Empty until it is known.
+    std::optional<placement_policy> policy;
     bool draining = false;
 };
 
--- a/modules/packets/agent/flow_opener.cpp
+++ b/modules/packets/agent/flow_opener.cpp
@@ -73,15 +73,27 @@
     const auto bytes = row.opening_bytes;
     auto packet = state_.opening_of(now, row);
     packet.datagram = bytes;
-    if (!state_.server.is_silent(now))
+    // A server that has answered holds the flow; before that, the flow is still
+    // new and the policy applies to it.
+    const auto held_back =
+        state_.is_held_by_policy() && !row.server_sequence.has_value();
+    if (!state_.server.is_silent(now) && !held_back)
     {
         state_.hooks.send_to_server(packet);
         return;
     }
+    offer_anew_if_evacuated(packet.label);
     state_.remove_flow(now, flow);
     forward_offer(now, packet);
 }
 
+// The flow settled here after all offers were used up. It would be dropped
+// instead of offered to the servers of other data centres.
+auto flow_opener::offer_anew_if_evacuated(packet_label& label) const -> void
+{
+    label.hops = state_.is_evacuated() ? 0 : label.hops;
+}
+
 auto flow_opener::offer(millis now, const flow_packet& packet) -> void
 {
     if (state_.accepts_new_flows(now) && state_.admission.has_free_slot())
@@ -165,6 +177,11 @@
     if (label.best_wait == packet_label::best_wait_max ||
         label.best_position >= order.size())
     {
+        if (state_.is_service_evacuated())
+        {
+            refuse(now, packet, "evacuated");
+            return;
+        }
         ++state_.counters.dropped;
         state_.emit(state_.flow_event("flow_dropped", flow_from_caller(packet))
                         .with("reason", "no_server_takes_flows")
@@ -195,6 +212,11 @@
     auto label = packet.label;
     if (order.empty() || label.hops >= packet_label::hops_max)
     {
+        if (state_.is_service_evacuated())
+        {
+            refuse(now, packet, "evacuated");
+            return;
+        }
         ++state_.counters.dropped;
         state_.emit(state_.flow_event("flow_dropped", flow)
                         .with("reason", "server_gone")
@@ -306,6 +328,7 @@
         auto packet = state_.opening_of(now, *row);
         packet.datagram = bytes;
         packet.label.best_wait = packet_label::best_wait_max;
+        offer_anew_if_evacuated(packet.label);
         state_.remove_flow(now, flow);
         forward_offer(now, packet);
     }
--- a/modules/packets/agent/flow_opener.hpp
+++ b/modules/packets/agent/flow_opener.hpp
@@ -43,6 +43,7 @@
 private:
     auto on_repeated_opening(millis now, const flow_key& flow, owned_flow& row)
         -> void;
+    auto offer_anew_if_evacuated(packet_label& label) const -> void;
     auto offer(millis now, const flow_packet& packet) -> void;
     auto forward_offer(millis now, const flow_packet& packet) -> void;
     auto offer_order(const flow_key& flow) -> std::vector<member_id>;
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -170,16 +170,39 @@
     update_own_record(now);
 }
 
-// New flows are only given to agents in the state ready.
+auto packet_agent::on_policy(millis now, const placement_policy& policy) -> void
+{
+    const auto was_evacuated = state_.is_evacuated();
+    state_.policy = policy;
+    if (state_.is_evacuated() != was_evacuated)
+    {
+        state_.emit(
+            event(was_evacuated ? "evacuation_ended" : "evacuation_started")
+                .with("data_centre", state_.members.self().data_centre)
+                .with("era", policy.era)
+                .with("revision", static_cast<std::uint64_t>(policy.revision))
+                .with("flows", std::uint64_t{state_.flows.size()})
+                .with("waiting", std::uint64_t{state_.admission.waiting()}));
+    }
+    update_own_record(now);
+    if (!state_.accepts_new_flows(now))
+    {
+        opener_.redistribute_queued_flows(now);
+    }
+}
+
+// New flows are only given to agents in the state ready. Every cause counts by
+// itself, so that the end of one does not end another.
 auto packet_agent::own_state() const -> member_state
 {
     const auto& server = state_.server;
-    if (state_.draining || server.is_draining())
+    if (state_.draining || server.is_draining() || state_.is_evacuated())
     {
         return member_state::draining;
     }
-    return server.is_known() && !server.is_absent() ? member_state::ready
-                                                    : member_state::joining;
+    const auto serves = server.is_known() && !server.is_absent();
+    return serves && !state_.awaits_policy() ? member_state::ready
+                                             : member_state::joining;
 }
 
 auto packet_agent::update_own_record(millis now) -> void
@@ -222,6 +245,16 @@
                        });
 }
 
+auto packet_agent::is_evacuated() const -> bool
+{
+    return state_.is_evacuated();
+}
+
+auto packet_agent::awaits_policy() const -> bool
+{
+    return state_.awaits_policy();
+}
+
 auto packet_agent::server() const -> const local_server&
 {
     return state_.server;
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -53,6 +53,10 @@
         -> heartbeat_outcome;
     auto on_leave(millis now, const std::string& server_id) -> bool;
 
+    // Call with the placement policy on each change. Without needs_policy in
+    // the settings it need not be called.
+    auto on_policy(millis now, const placement_policy& policy) -> void;
+
     // Call when a check that began at this time has found no server process on
     // this VM.
     auto on_server_not_found(millis now, millis checked_at) -> void;
@@ -65,6 +69,11 @@
     // Returns true if every flow has been closed by both ends.
     auto is_drained() const -> bool;
 
+    // The placement policy: whether it excludes this agent's data centre, and
+    // whether it is needed and not known yet.
+    auto is_evacuated() const -> bool;
+    auto awaits_policy() const -> bool;
+
     auto server() const -> const local_server&;
     auto admission() const -> const flow_admission&;
     auto flow_count() const -> std::size_t;
--- a/modules/packets/agent/packet_agent_settings.hpp
+++ b/modules/packets/agent/packet_agent_settings.hpp
@@ -24,6 +24,8 @@
     // is queued. At 75 percent load with two slots per agent, the probability
     // that eight agents in a row are full is below 5 percent.
     std::uint8_t offers_max = 8;
+    // No flow is started before the placement policy is known.
+    bool needs_policy = false;
 };
 
 } // namespace briardrum
--- a/modules/packets/balancer/packet_balancer.cpp
+++ b/modules/packets/balancer/packet_balancer.cpp
@@ -144,7 +144,7 @@
     const auto* target = targets.placement_target(flow, packet.retransmissions);
     if (target == nullptr)
     {
-        ++counters_.no_agent;
+        on_no_agent(packet, service_name);
         return;
     }
     send(target->address, packet, matched, service_name);
@@ -226,7 +226,12 @@
 {
     // A suspect home agent is skipped; owners also notify the next agents of
     // the order.
-    const auto* home = targets_of(service_name).placement_target(flow, 0);
+    const auto& targets = targets_of(service_name);
+    const auto* home = targets.placement_target(flow, 0);
+    if (home == nullptr && evacuating_)
+    {
+        home = targets.any_target(flow);
+    }
     if (home == nullptr)
     {
         ++counters_.no_agent;
@@ -267,6 +272,46 @@
     }
 }
 
+auto packet_balancer::set_evacuating(bool evacuating) -> void
+{
+    evacuating_ = evacuating;
+}
+
+auto packet_balancer::is_evacuated(const std::string& service_name) const
+    -> bool
+{
+    const auto agents = members_.agents_of(service_name);
+    return evacuating_ && !agents.empty() &&
+           std::all_of(agents.begin(), agents.end(),
+                       [&](member_id id)
+                       {
+                           return members_.find(id)->state ==
+                                  member_state::draining;
+                       });
+}
+
+// A retransmission is not refused: an earlier copy may have opened the flow.
+auto packet_balancer::on_no_agent(const flow_packet& packet,
+                                  const std::string& service_name) -> void
+{
+    if (packet.retransmissions > 0 || !is_evacuated(service_name))
+    {
+        ++counters_.no_agent;
+        return;
+    }
+    ++counters_.evacuated;
+    hooks_.send_reset(packet.destination, packet.source, 0);
+    if (hooks_.events)
+    {
+        hooks_.events(event("flow_refused")
+                          .with("flow", to_string(packet.source))
+                          .with("route", to_string(packet.destination))
+                          .with("reason", "evacuated")
+                          .with("service", service_name)
+                          .with("version", version()));
+    }
+}
+
 auto packet_balancer::on_hint(const flow_packet& notice) -> void
 {
     for (const auto& record : members_.records())
@@ -303,12 +348,14 @@
     {
         return false;
     }
-    return std::any_of(members_.records().begin(), members_.records().end(),
-                       [](const member_record& it)
-                       {
-                           return it.kind == member_kind::agent &&
-                                  it.state == member_state::ready;
-                       });
+    return std::any_of(
+        members_.records().begin(), members_.records().end(),
+        [&](const member_record& it)
+        {
+            return it.kind == member_kind::agent &&
+                   (it.state == member_state::ready ||
+                    (evacuating_ && it.state == member_state::draining));
+        });
 }
 
 auto packet_balancer::version() const -> configuration_version
--- a/modules/packets/balancer/packet_balancer.hpp
+++ b/modules/packets/balancer/packet_balancer.hpp
@@ -43,7 +43,13 @@
     // any other message is ignored.
     auto on_control(const control_message& message) -> void;
 
-    // Returns true if there is a route table and at least one agent is ready.
+    // Call with true while a data centre is evacuated, on each change. If all
+    // agents of a service drain then, opening packets are refused, and packets
+    // of open flows still find their agents.
+    auto set_evacuating(bool evacuating) -> void;
+
+    // Returns true if there is a route table and at least one agent is ready,
+    // or drains while a data centre is evacuated.
     auto is_ready() -> bool;
 
     auto version() const -> configuration_version;
@@ -76,6 +82,9 @@
     auto send(const endpoint& to, const flow_packet& packet,
               const route& matched, const std::string& service_name) -> void;
     auto refuse_unknown_route(const flow_packet& packet) -> void;
+    auto is_evacuated(const std::string& service_name) const -> bool;
+    auto on_no_agent(const flow_packet& packet, const std::string& service_name)
+        -> void;
 
     const member_view& members_;
     packet_hooks hooks_;
@@ -84,6 +93,7 @@
     std::map<endpoint, std::vector<former_target>> former_targets_;
     hint_cache hints_;
     packet_balancer_counters counters_;
+    bool evacuating_ = false;
 };
 
 } // namespace briardrum
--- a/modules/packets/balancer/packet_balancer_counters.hpp
+++ b/modules/packets/balancer/packet_balancer_counters.hpp
@@ -16,6 +16,8 @@
     std::uint64_t no_configuration = 0;
     std::uint64_t no_route = 0;
     std::uint64_t no_agent = 0;
+    // Opening packets refused because all agents of the service drain.
+    std::uint64_t evacuated = 0;
     std::uint64_t hints_learnt = 0;
 };
 
--- a/modules/packets/model/route_table.hpp
+++ b/modules/packets/model/route_table.hpp
@@ -3,6 +3,7 @@
 
 #include "core/core.hpp"
 #include "packets/model/packet_label.hpp"
+#include "wire/messages/placement_policy.hpp"
 
 #include <map>
 #include <string>
@@ -42,6 +43,8 @@
     std::map<endpoint, route> routes;
     // Maximum time for which a flow may be silent.
     millis idle_timeout = seconds(60);
+    // Services whose cold servers are limited, sorted by service.
+    std::vector<service_warm_up> warm_up;
 
     auto find(const endpoint& address) const -> const route*;
 };
--- a/modules/routing/choice/service_targets.cpp
+++ b/modules/routing/choice/service_targets.cpp
@@ -62,6 +62,18 @@
     return available.empty() ? home : available[tried % available.size()];
 }
 
+auto service_targets::any_target(const flow_key& flow) const
+    -> const service_target*
+{
+    std::vector<candidate> all;
+    for (const auto& it : targets_)
+    {
+        all.push_back({it.id, it.suspect ? 0U : 1U});
+    }
+    const auto id = rendezvous_first(flow, all);
+    return id == 0 ? nullptr : find(id);
+}
+
 auto service_targets::size() const -> std::size_t
 {
     return targets_.size();
--- a/modules/routing/choice/service_targets.hpp
+++ b/modules/routing/choice/service_targets.hpp
@@ -44,6 +44,11 @@
     auto placement_target(const flow_key& flow, std::size_t tried) const
         -> const service_target*;
 
+    // Returns an agent of the service that does not count as suspect, also if
+    // it is draining or joining; the same on every balancer. nullptr if there
+    // is none.
+    auto any_target(const flow_key& flow) const -> const service_target*;
+
     auto size() const -> std::size_t;
 
 private:
--- a/tests/random/packet_fleet_test.cpp
+++ b/tests/random/packet_fleet_test.cpp
@@ -123,6 +123,44 @@
     }
 }
 
+// Guards against: under load, an evacuation or its end breaks open flows, or
+// servers of the data centre get new flows, also from queues, from balancers
+// with an older view and from agents that have restarted.
+TEST_CASE("evacuation under load: no new flow opens there and none breaks")
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed)
+    {
+        CAPTURE(seed);
+        auto settings = small_fleet(seed, 0.5);
+        settings.loss = 0.001;
+        settings.agent.needs_policy = true;
+        packet_fleet fleet(settings);
+        fleet.evacuate({});
+        fleet.run_until(seconds(3));
+        fleet.start_load();
+        fleet.run_until(seconds(5));
+        fleet.caller().clear_tallies();
+        for (auto now = seconds(5); now < seconds(20); now += seconds(5))
+        {
+            fleet.evacuate({"dc-1"});
+            fleet.run_until(now + seconds(1));
+            const auto opened = fleet.opened_in("dc-1");
+            REQUIRE(opened > 0);
+            fleet.restart_agent(1);
+            fleet.stop_balancer(0);
+            fleet.run_until(now + seconds(2));
+            fleet.start_balancer(0);
+            fleet.run_until(now + seconds(3));
+            CHECK(fleet.opened_in("dc-1") == opened);
+            fleet.evacuate({});
+            fleet.run_until(now + seconds(5));
+            CHECK(fleet.opened_in("dc-1") > opened);
+        }
+        check_invariants(fleet);
+        CHECK(fleet.caller().tally("lookup").served_share() > 0.99);
+    }
+}
+
 TEST_CASE("random faults misroute no packet and reset no open flow")
 {
     for (std::uint64_t seed = 1; seed <= 8; ++seed)
--- a/tests/unit/packet_balancer_test.cpp
+++ b/tests/unit/packet_balancer_test.cpp
@@ -54,6 +54,10 @@
         {
             sent.push_back(to);
         };
+        out.send_reset = [this](const endpoint&, const endpoint&, std::uint32_t)
+        {
+            ++resets;
+        };
         out.opening_unanswered = [this](millis, member_id agent)
         {
             unanswered_agents.push_back(agent);
@@ -70,6 +74,17 @@
         members.on_control(now, message);
     }
 
+    auto change_all(member_state state) -> void
+    {
+        for (std::uint32_t n = 1; n <= agents; ++n)
+        {
+            auto record = record_of(n, member_kind::agent);
+            record.version = ++last_version;
+            record.state = state;
+            receive_gossip(record);
+        }
+    }
+
     // Sends an opening packet after this many retransmissions and returns its
     // destination.
     auto open(std::uint16_t port, std::uint8_t copies) -> endpoint
@@ -80,7 +95,7 @@
         packet.opens = true;
         packet.retransmissions = copies;
         core.on_caller_packet(now, packet);
-        return sent.back();
+        return sent.empty() ? endpoint{} : sent.back();
     }
 
     auto send_acknowledgement(std::uint16_t port) -> endpoint
@@ -116,6 +131,8 @@
     packet_balancer core;
     std::vector<endpoint> sent;
     std::vector<member_id> unanswered_agents;
+    std::uint32_t last_version = 10;
+    int resets = 0;
 };
 
 } // namespace
@@ -214,3 +231,37 @@
         CHECK(it.send_acknowledgement(port) == opened_at[port - 1U]);
     }
 }
+
+// Guards against: with all data centres evacuated, callers wait until they give
+// up; the fabric stops sending, since no balancer is ready; and packets of open
+// flows are dropped.
+TEST_CASE("evacuation of every server: openings are refused, open flows served")
+{
+    packet_balancer_fixture it;
+    it.change_all(member_state::draining);
+    it.open(1, 0);
+    CHECK(it.resets == 0);
+    CHECK_FALSE(it.core.is_ready());
+    it.core.set_evacuating(true);
+    it.open(2, 0);
+    CHECK(it.resets == 1);
+    // The first copy may have opened the flow.
+    it.open(3, 1);
+    CHECK(it.resets == 1);
+    CHECK(it.core.is_ready());
+    REQUIRE(it.sent.empty());
+    const auto to = it.send_acknowledgement(4);
+    CHECK(it.sent.size() == 1);
+    CHECK(it.send_acknowledgement(4) == to);
+    // An agent that is joining may take flows shortly.
+    auto joining = record_of(1, member_kind::agent);
+    joining.version = ++it.last_version;
+    joining.state = member_state::joining;
+    it.receive_gossip(joining);
+    it.open(5, 0);
+    CHECK(it.resets == 1);
+    it.core.set_evacuating(false);
+    it.change_all(member_state::ready);
+    it.open(6, 0);
+    CHECK(it.sent.size() == 3);
+}
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -2,7 +2,9 @@
 #include "platform/platform.hpp"
 #include "platform/store_responses.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <map>
 
 using namespace briardrum;
 
@@ -231,6 +233,59 @@
     CHECK(it->configuration_deadline == seconds(5));
 }
 
+// Guards against: a deployment without evacuation gets a placement policy, or
+// one whose watch goes silent learns an evacuation too late to spread it.
+TEST_CASE("the evacuation deadline is optional and shortens store polls")
+{
+    const auto parse = [](const std::string& more)
+    {
+        return platform::parse_settings(settings_text + more,
+                                        member_kind::balancer, "s.conf");
+    };
+    const auto plain = parse("bounds.warmupOvershoot=1.5\n");
+    REQUIRE(plain.ok());
+    CHECK_FALSE(plain->evacuation_deadline.has_value());
+    CHECK_FALSE(plain->limits_cold_servers);
+    CHECK(store_delivery_deadline(*plain) == plain->configuration_deadline);
+    const auto it = parse("bounds.evacuateMs=5000\n"
+                          "bounds.configApplyMs=9000\n"
+                          "bounds.warmupOvershoot=1.5\n");
+    REQUIRE(it.ok());
+    CHECK(it->evacuation_deadline == seconds(5));
+    CHECK(it->limits_cold_servers);
+    CHECK(store_delivery_deadline(*it) == seconds(3));
+    const auto bad = parse("bounds.evacuateMs=soon\n");
+    CHECK(bad.status().message() ==
+          "s.conf:16: bounds.evacuateMs is not a non-negative integer: soon");
+}
+
+TEST_CASE("limits on cold servers are parsed from the configuration")
+{
+    const auto it = platform::read_configuration(
+        R"({"version":7,"routes":[],"services":[)"
+        R"({"name":"a","warmupPerS":2.5},{"name":"b","warmupPerS":0},)"
+        R"({"name":"c","warmupPerS":-1},{"name":"d"},"e",)"
+        R"({"name":"f","warmupPerS":"many"},{"name":"g","warmupPerS":1e12},)"
+        R"({"name":"h","warmupPerS":0.0001},{"name":"a","warmupPerS":40},)"
+        R"({"warmupPerS":3}]})");
+    REQUIRE(it.ok());
+    std::map<std::uint32_t, std::uint32_t> limits;
+    for (const auto& limit : it->warm_up)
+    {
+        limits[limit.service] = limit.requests_per_second_milli;
+    }
+    CHECK(limits.size() == it->warm_up.size());
+    CHECK(limits == std::map<std::uint32_t, std::uint32_t>{
+                        {service_tag_of("a"), 2500},
+                        {service_tag_of("g"), 4294967295U},
+                        {service_tag_of("h"), 1}});
+    CHECK(std::is_sorted(it->warm_up.begin(), it->warm_up.end(),
+                         [](const auto& a, const auto& b)
+                         {
+                             return a.service < b.service;
+                         }));
+}
+
 TEST_CASE("the operator configuration is parsed into a route table")
 {
     const auto it = platform::read_configuration(
