./run site evacuates a data centre

Cause: the evacuation was tested without a network only. Change: the stand-in platform evacuates zone-2 after a second and checks that its servers accept no flow from bounds.evacuateMs after that to the end of the second third, while the store is away, a balancer is replaced and an agent in another data centre killed; they have to accept flows before and after.

--- a/bench/rig/packets/packet_fleet.cpp
+++ b/bench/rig/packets/packet_fleet.cpp
@@ -348,9 +348,9 @@
                   });
 }
 
-auto packet_fleet::evacuate(std::vector<std::string> data_centres) -> void
+auto packet_fleet::evacuate(std::vector<std::string> names) -> void
 {
-    policy_.evacuated = std::move(data_centres);
+    policy_.evacuated = std::move(names);
     ++policy_.revision;
     for (const auto& it : balancers_)
     {
--- a/bench/rig/packets/packet_fleet.hpp
+++ b/bench/rig/packets/packet_fleet.hpp
@@ -77,7 +77,7 @@
 
     // Operators evacuate these data centres, or none. Balancers and agents
     // learn it after at most view_lag_max each.
-    auto evacuate(std::vector<std::string> data_centres) -> void;
+    auto evacuate(std::vector<std::string> names) -> void;
     // Flows that were opened at servers of a data centre so far.
     auto opened_in(const std::string& data_centre) const -> std::uint64_t;
 
--- a/scripts/lib/packet_site.sh
+++ b/scripts/lib/packet_site.sh
@@ -1,6 +1,7 @@
 # Sourced: the packet programs on loopback beside the stand-in for the users'
 # platform. Each VM is an address of 127.0.0.0/8; all have the same ports.
 #
+#     site_more_settings=LINES    (optional: added to every settings file)
 #     start_packet_site BALANCERS AGENTS ARGUMENTS...
 #     wait_for_site_ready; ...; wait_for_site_done
 #     stop_packet_site
@@ -26,6 +27,7 @@
 app=$ip:$((site_ports + 4))
 service=$service
 platform.address=127.4.0.1:$((site_ports + 6))
+${site_more_settings:-}
 EOF
 }
 
--- a/stand_ins/packet_site/main.cpp
+++ b/stand_ins/packet_site/main.cpp
@@ -1,5 +1,6 @@
 #include "stand_ins/packet_site/platform_store.hpp"
 #include "stand_ins/packet_site/site_callers.hpp"
+#include "stand_ins/packet_site/site_evacuation.hpp"
 #include "stand_ins/packet_site/site_operator.hpp"
 #include "stand_ins/packet_site/site_server.hpp"
 #include "stand_ins/shared/command_line.hpp"
@@ -8,6 +9,7 @@
 #include <csignal>
 #include <cstdio>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 
 using namespace briardrum;
@@ -35,6 +37,7 @@
     std::int64_t seconds = 6;
     double per_second = 200;
     bool store_outage = false;
+    std::uint32_t evacuate_ms = 0;
 };
 
 constexpr std::uint32_t balancer_network = 0x7f010000; // 127.1.0.0
@@ -114,6 +117,9 @@
     app.add_option("--per-second", options.per_second, "requests a second");
     app.add_flag("--store-outage", options.store_outage,
                  "the store is down in the middle third");
+    app.add_option("--evacuate-ms", options.evacuate_ms,
+                   "a data centre is evacuated from the first second until two "
+                   "thirds are over, and gets no flow after this time");
     CLI11_PARSE(app, argc, argv);
 
     const auto ports = ports_of(options.port_base);
@@ -128,7 +134,7 @@
     asio::signal_set restore_requests(context, SIGUSR1);
     restore_on_signal(restore_requests, operators);
     std::map<std::string, std::uint64_t> runs;
-    std::vector<std::unique_ptr<site_server>> servers;
+    site_servers servers;
     for (std::uint32_t n = 0; n < options.agents; ++n)
     {
         const auto address = agent_network + n + 1;
@@ -173,11 +179,21 @@
     std::printf("event=site_ready balancers=%zu\n", callers.ready_balancers());
     std::fflush(stdout);
     callers.begin();
+    std::optional<site_evacuation> evacuation;
+    if (options.evacuate_ms > 0)
+    {
+        evacuation.emplace(context, operators, servers,
+                           std::chrono::milliseconds(options.evacuate_ms));
+    }
     run_for(context, options.seconds / 3);
     operators.set_outage(options.store_outage);
     servers.front()->drain();
     run_for(context, options.seconds / 3);
     operators.set_outage(false);
+    if (evacuation.has_value())
+    {
+        evacuation->end();
+    }
     operators.change();
     run_for(context, options.seconds / 3);
     callers.end();
@@ -206,8 +222,9 @@
                 number(doubled), number(changed),
                 servers.front()->is_leave_heard() ? "yes" : "no",
                 number(operators.restores()), number(operators.version()));
-    const auto kept = it.wrong == 0 && it.broken == 0 && doubled == 0 &&
-                      changed == 0 && it.answered > 0 &&
+    const auto evacuated = !evacuation.has_value() || evacuation->report();
+    const auto kept = evacuated && it.wrong == 0 && it.broken == 0 &&
+                      doubled == 0 && changed == 0 && it.answered > 0 &&
                       servers.front()->is_leave_heard();
     return kept ? 0 : 1;
 }
--- a/stand_ins/packet_site/platform_store.cpp
+++ b/stand_ins/packet_site/platform_store.cpp
@@ -253,6 +253,14 @@
     state_->data.commit(request);
 }
 
+auto platform_store::remove(const std::string& key) -> void
+{
+    const std::lock_guard lock(state_->mutex);
+    store_transaction request;
+    request.writes.push_back({key, "", true, 0});
+    state_->data.commit(request);
+}
+
 auto platform_store::copy() const -> memory_store
 {
     const std::lock_guard lock(state_->mutex);
--- a/stand_ins/packet_site/platform_store.hpp
+++ b/stand_ins/packet_site/platform_store.hpp
@@ -26,6 +26,8 @@
     // Writes as the operator does.
     auto put(const std::string& key, const std::string& value) -> void;
 
+    auto remove(const std::string& key) -> void;
+
     // While it is down, every call is refused.
     auto set_down(bool down) -> void;
 
--- a/stand_ins/packet_site/site_operator.cpp
+++ b/stand_ins/packet_site/site_operator.cpp
@@ -36,6 +36,16 @@
     write();
 }
 
+auto site_operator::evacuate(const std::string& data_centre) -> void
+{
+    store_.put("op/evacuate/" + data_centre, "{}");
+}
+
+auto site_operator::withdraw(const std::string& data_centre) -> void
+{
+    store_.remove("op/evacuate/" + data_centre);
+}
+
 auto site_operator::set_outage(bool is_out) -> void
 {
     outage_ = is_out;
--- a/stand_ins/packet_site/site_operator.hpp
+++ b/stand_ins/packet_site/site_operator.hpp
@@ -24,6 +24,10 @@
     // Writes the next version.
     auto change() -> void;
 
+    // Evacuates a data centre, or ends its evacuation.
+    auto evacuate(const std::string& data_centre) -> void;
+    auto withdraw(const std::string& data_centre) -> void;
+
     // While there is an outage the store refuses every call.
     auto set_outage(bool is_out) -> void;
 
--- a/stand_ins/packet_site/site_server.cpp
+++ b/stand_ins/packet_site/site_server.cpp
@@ -61,6 +61,11 @@
     return drain_heard_;
 }
 
+auto site_server::accepted_flows() const -> std::uint64_t
+{
+    return accepted_;
+}
+
 // Far apart for any two servers, so that a caller's acknowledgement names one,
 // and another one for each flow, so that packets of a flow that has ended do
 // not belong to one that a late copy of its opening packet began.
--- a/stand_ins/packet_site/site_server.hpp
+++ b/stand_ins/packet_site/site_server.hpp
@@ -45,6 +45,8 @@
     // Packets that were not as their sender wrote them.
     auto changed_packets() const -> std::uint64_t;
     auto is_leave_heard() const -> bool;
+    // Flows accepted so far.
+    auto accepted_flows() const -> std::uint64_t;
 
 private:
     struct flow
