--- a/tests/fakes/policy_fleet.cpp
+++ b/tests/fakes/policy_fleet.cpp
@@ -38,8 +38,8 @@
     auto& item = nodes_[index];
     item.last = {};
     policy_spreader_hooks hooks;
-    hooks.send =
-        [this, index](const endpoint& to, placement_policy_message message)
+    hooks.send = [this, index](const endpoint& to,
+                               const placement_policy_message& message)
     {
         send(index, to, message);
     };
