--- a/modules/packets/agent/packet_agent_settings.hpp
+++ b/modules/packets/agent/packet_agent_settings.hpp
@@ -30,6 +30,8 @@
     // warm_up_overshoot.
     std::optional<double> warm_up_overshoot;
     std::optional<double> warm_up_slack;
+    // No flow is started before the placement policy is known.
+    bool needs_policy = false;
 };
 
 } // namespace briardrum
--- a/modules/packets/balancer/packet_balancer.hpp
+++ b/modules/packets/balancer/packet_balancer.hpp
@@ -53,7 +53,13 @@
     // Sends extra opening packets that are due.
     auto tick(millis now) -> void;
 
-    // Returns true if there is a route table and at least one agent is ready.
+    // Call with true while a data centre is evacuated, on each change. If all
+    // agents of a service drain then, opening packets are refused, and packets
+    // of open flows still find their agents.
+    auto set_evacuating(bool evacuating) -> void;
+
+    // Returns true if there is a route table and at least one agent is ready,
+    // or drains while a data centre is evacuated.
     auto is_ready() -> bool;
 
     auto version() const -> configuration_version;
@@ -97,6 +103,9 @@
     auto make_hedging_hooks() -> hedging_hooks;
     auto send_hedge(millis now, const kept_opening& opening) -> bool;
     auto refuse_unknown_route(const flow_packet& packet) -> void;
+    auto is_evacuated(const std::string& service_name) const -> bool;
+    auto on_no_agent(const flow_packet& packet, const std::string& service_name)
+        -> void;
 
     const member_view& members_;
     packet_hooks hooks_;
@@ -106,6 +115,7 @@
     hint_cache hints_;
     packet_balancer_counters counters_;
     opening_hedger hedger_;
+    bool evacuating_ = false;
 };
 
 } // namespace briardrum
