Servers that mislead: agents judge their server and reduce its intake

Cause: a server that fails requests while its health check passes keeps its full share of new flows. The agent sees each request and answer, and used neither.

Change: server_conduct judges the server from the last 2 s of requests; answer_baseline is its long-term median; conduct_bound lets at most a third of a service's ready agents reduce their intake, by the weights in the records (100 healthy, 99 announced, 1 reduced), and none when more than half find their servers faulty. intake_control joins them to records, log and counters. service_candidates multiplies slots by weight_percent; with 100 everywhere the weights are the slots as before, so the order is the same to the last bit. Enabled by "health" in the settings key contracts.

A request with a gap on its way is not judged.

--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -15,6 +15,7 @@
     out.service_name = settings.service_name;
     out.heartbeat_interval = settings.heartbeat_interval;
     out.flow_lifetime = settings.flow_lifetime;
+    out.judge_server = settings.judge_server;
     return out;
 }
 
@@ -208,6 +209,10 @@
     out.counter("packets_wrong_service_total", it.wrong_service);
     out.counter("packets_dropped_total", it.dropped);
     out.counter("heartbeats_refused_total", bad_heartbeats_);
+    if (settings_.judge_server)
+    {
+        write_conduct_metrics(out);
+    }
     out.histogram("flow_wait_ms", waits_);
     out.histogram("flow_answer_ms", answers_);
     out.gauge("flows", core_.flow_count());
@@ -215,4 +220,16 @@
     out.gauge("flows_waiting", core_.admission().waiting());
 }
 
+auto packet_agent_daemon::write_conduct_metrics(metrics_text& out) const -> void
+{
+    const auto report = core_.conduct().report();
+    out.counter("server_found_faulty_total", core_.counters().found_faulty);
+    out.gauge("server_faulty", core_.conduct().is_faulty() ? 1 : 0);
+    out.gauge("server_intake_reduced", core_.intake().is_reduced() ? 1 : 0);
+    out.gauge("server_window_requests", report.requests);
+    out.gauge("server_window_unanswered", report.unanswered);
+    out.gauge("server_window_broken_off", report.broken_off);
+    out.gauge("server_answer_limit_ms", as_count(report.answer_limit));
+}
+
 } // namespace briardrum
--- a/modules/io/daemons/packet_agent_daemon.hpp
+++ b/modules/io/daemons/packet_agent_daemon.hpp
@@ -43,6 +43,7 @@
     auto answer_server(const http_request& request) -> http_response;
     auto answer_heartbeat(const server_heartbeat& heartbeat) -> http_response;
     auto write_metrics(metrics_text& out) const -> void;
+    auto write_conduct_metrics(metrics_text& out) const -> void;
 
     packet_process_settings settings_;
     packet_process process_;
--- a/modules/io/daemons/packet_process_settings.hpp
+++ b/modules/io/daemons/packet_process_settings.hpp
@@ -45,6 +45,8 @@
     std::string service_name;
     millis heartbeat_interval = seconds(1);
     millis flow_lifetime = seconds(60);
+    // The server may fail requests while its health check passes.
+    bool judge_server = false;
 
     auto operator==(const packet_process_settings&) const -> bool = default;
 };
--- a/modules/packets/agent/agent_state.cpp
+++ b/modules/packets/agent/agent_state.cpp
@@ -32,7 +32,8 @@
     : members(all_members), settings(std::move(start_settings)),
       hooks(std::move(start_hooks)), started_at(start),
       server(settings.service_name, settings.heartbeat_interval),
-      admission(settings.admission), tag(service_tag_of(settings.service_name))
+      admission(settings.admission), conduct(settings.judge_server),
+      intake(members.self().id), tag(service_tag_of(settings.service_name))
 {
 }
 
@@ -110,6 +111,10 @@
     {
         admission.end_transfer();
     }
+    if (phase == flow_phase::opening && before != flow_phase::opening)
+    {
+        intake.on_flow_started(now);
+    }
     row.phase = phase;
     row.phase_since = now;
     if (phase == flow_phase::idle)
@@ -128,6 +133,7 @@
     }
     admission.remove(flow);
     set_phase(now, *row, flow_phase::probing);
+    conduct.forget(flow);
     flows.erase(flow);
 }
 
@@ -217,10 +223,12 @@
     }
 }
 
-// Returns true if the server and this process both accept new flows.
+// Returns true if the server and this process both accept new flows, and the
+// intake is not reduced to probes.
 auto agent_state::accepts_new_flows(millis now) const -> bool
 {
-    return !draining && server.accepts_new_flows(now);
+    return !draining && server.accepts_new_flows(now) &&
+           intake.allows_flow(now);
 }
 
 } // namespace briardrum
--- a/modules/packets/agent/agent_state.hpp
+++ b/modules/packets/agent/agent_state.hpp
@@ -2,11 +2,13 @@
 #define BRIARDRUM_PACKETS_AGENT_AGENT_STATE_HPP
 
 #include "membership/membership.hpp"
+#include "packets/agent/conduct_bound.hpp"
 #include "packets/agent/flow_admission.hpp"
 #include "packets/agent/local_server.hpp"
 #include "packets/agent/owned_flow.hpp"
 #include "packets/agent/packet_agent_counters.hpp"
 #include "packets/agent/packet_agent_settings.hpp"
+#include "packets/agent/server_conduct.hpp"
 #include "packets/model/packet_hooks.hpp"
 #include "routing/routing.hpp"
 
@@ -57,6 +59,8 @@
     millis started_at;
     local_server server;
     flow_admission admission;
+    server_conduct conduct;
+    conduct_bound intake;
     service_tag tag;
     service_candidates candidates;
     table<flow_key, owned_flow> flows;
--- a/modules/packets/agent/open_flow_router.cpp
+++ b/modules/packets/agent/open_flow_router.cpp
@@ -117,6 +117,7 @@
         return;
     }
     row.last_used = now;
+    row.caller_heard_at = now;
     if (packet.acknowledges)
     {
         row.confirmed = row.confirmed || row.server_sequence.has_value();
@@ -124,7 +125,7 @@
     }
     if (packet.payload_bytes > 0)
     {
-        note_request(now, row, packet);
+        note_request(now, flow, row, packet);
     }
     row.caller_closed = row.caller_closed || packet.closes;
     state_.hooks.send_to_server(packet);
@@ -151,8 +152,9 @@
 
 // A full packet is followed by more of the request: the server starts to work
 // once the last packet, which is not full, has arrived.
-auto open_flow_router::note_request(millis now, owned_flow& row,
-                                    const flow_packet& packet) -> void
+auto open_flow_router::note_request(millis now, const flow_key& flow,
+                                    owned_flow& row, const flow_packet& packet)
+    -> void
 {
     // A retransmission of data that the server has may arrive after the answer,
     // and would never be answered again.
@@ -163,6 +165,7 @@
     {
         return;
     }
+    note_gap(flow, row, packet);
     row.data_end = end;
     const auto more_follows =
         packet.payload_bytes >= state_.settings.full_payload_bytes;
@@ -175,8 +178,31 @@
     state_.set_phase(now, row, phase);
     if (more_follows)
     {
+        state_.conduct.forget(flow);
         opener_.start_queued_flows(now);
     }
+    else if (!row.request_has_gap)
+    {
+        state_.conduct.on_request(now, flow, row.known_since);
+    }
+}
+
+// A server cannot answer before the caller has retransmitted what was lost on
+// the way, so a request with a gap says nothing about its server.
+auto open_flow_router::note_gap(const flow_key& flow, owned_flow& row,
+                                const flow_packet& packet) -> void
+{
+    const auto in_progress =
+        row.phase == flow_phase::receiving || row.phase == flow_phase::asking;
+    const auto expected =
+        row.data_end.has_value() ? row.data_end : row.data_start;
+    const auto gap = expected.has_value() &&
+                     static_cast<std::int32_t>(packet.sequence - *expected) > 0;
+    row.request_has_gap = gap || (in_progress && row.request_has_gap);
+    if (gap)
+    {
+        state_.conduct.forget(flow);
+    }
 }
 
 auto open_flow_router::probe_server(millis now, const flow_packet& packet)
--- a/modules/packets/agent/open_flow_router.hpp
+++ b/modules/packets/agent/open_flow_router.hpp
@@ -25,10 +25,12 @@
                          const flow_packet& packet) -> void;
     auto deliver(millis now, const flow_key& flow, owned_flow& row,
                  const flow_packet& packet) -> void;
-    auto note_request(millis now, owned_flow& row, const flow_packet& packet)
-        -> void;
+    auto note_request(millis now, const flow_key& flow, owned_flow& row,
+                      const flow_packet& packet) -> void;
     auto is_open_at_another_server(const owned_flow& row,
                                    const flow_packet& packet) const -> bool;
+    auto note_gap(const flow_key& flow, owned_flow& row,
+                  const flow_packet& packet) -> void;
     auto answer_search(const endpoint& from, owned_flow& row,
                        const flow_packet& packet) -> void;
     auto probe_server(millis now, const flow_packet& packet) -> owned_flow&;
--- a/modules/packets/agent/owned_flow.hpp
+++ b/modules/packets/agent/owned_flow.hpp
@@ -43,11 +43,19 @@
     millis phase_since;
     millis known_since;
     millis last_used;
+    // Time of the last packet from the caller.
+    millis caller_heard_at;
     // Last acknowledgement number of the caller, needed to send a reset.
     std::uint32_t caller_acknowledged = 0;
     // End of the caller's data so far, as a sequence number; empty if none has
     // been seen.
     std::optional<std::uint32_t> data_end;
+    // Sequence number of the caller's first data, from the server's answer to
+    // the opening packet.
+    std::optional<std::uint32_t> data_start;
+    // A packet of the request in progress has not arrived, so that the server
+    // may be waiting for it.
+    bool request_has_gap = false;
     // Initial sequence number of the server, from its answer to the opening
     // packet.
     std::optional<std::uint32_t> server_sequence;
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -24,7 +24,8 @@
                    router_.on_packet(now, {}, packet);
                }),
       router_(state_, opener_, locator_, notices_),
-      server_packets_(state_, opener_, locator_, notices_), expiry_(state_)
+      server_packets_(state_, opener_, locator_, notices_), expiry_(state_),
+      intake_(state_)
 {
 }
 
@@ -114,9 +115,12 @@
     if (outcome == heartbeat_outcome::replaced)
     {
         server_packets_.drop_server_flows(now);
+        state_.conduct.on_replaced(now);
     }
+    state_.conduct.on_heartbeat(now);
     state_.tag = service_tag_of(state_.server.service_name());
     state_.admission.set_slots(state_.server.slots());
+    state_.conduct.set_slots(state_.server.slots());
     update_own_record(now);
     return outcome;
 }
@@ -153,6 +157,7 @@
                     .with("flows", std::uint64_t{state_.flows.size()})
                     .with("checked_ms_ago", as_count(now - checked_at)));
     server_packets_.drop_flows_of_absent_server(now);
+    state_.conduct.on_replaced(now);
     update_own_record(now);
 }
 
@@ -206,6 +211,7 @@
 auto packet_agent::tick(millis now) -> void
 {
     look_for_server(now);
+    intake_.tick(now);
     opener_.drop_expired(now);
     opener_.start_queued_flows(now);
     locator_.tick(now);
@@ -237,6 +243,16 @@
     return state_.flows.size();
 }
 
+auto packet_agent::conduct() const -> const server_conduct&
+{
+    return state_.conduct;
+}
+
+auto packet_agent::intake() const -> const conduct_bound&
+{
+    return state_.intake;
+}
+
 auto packet_agent::counters() const -> const packet_agent_counters&
 {
     return state_.counters;
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -2,6 +2,7 @@
 #define BRIARDRUM_PACKETS_AGENT_PACKET_AGENT_HPP
 
 #include "packets/agent/flow_expiry.hpp"
+#include "packets/agent/intake_control.hpp"
 #include "packets/agent/open_flow_router.hpp"
 #include "packets/agent/server_packet_handler.hpp"
 
@@ -68,6 +69,8 @@
     auto server() const -> const local_server&;
     auto admission() const -> const flow_admission&;
     auto flow_count() const -> std::size_t;
+    auto conduct() const -> const server_conduct&;
+    auto intake() const -> const conduct_bound&;
     auto counters() const -> const packet_agent_counters&;
 
 private:
@@ -82,6 +85,7 @@
     open_flow_router router_;
     server_packet_handler server_packets_;
     flow_expiry expiry_;
+    intake_control intake_;
     millis next_look_;
 };
 
--- a/modules/packets/agent/packet_agent_counters.hpp
+++ b/modules/packets/agent/packet_agent_counters.hpp
@@ -29,6 +29,8 @@
     std::uint64_t returned = 0;
     std::uint64_t wrong_service = 0;
     std::uint64_t dropped = 0;
+    // Times that the server was found faulty.
+    std::uint64_t found_faulty = 0;
 };
 
 } // namespace briardrum
--- a/modules/packets/agent/packet_agent_settings.hpp
+++ b/modules/packets/agent/packet_agent_settings.hpp
@@ -24,6 +24,9 @@
     // is queued. At 75 percent load with two slots per agent, the probability
     // that eight agents in a row are full is below 5 percent.
     std::uint8_t offers_max = 8;
+    // The server may fail requests while its health check passes, and is judged
+    // by its answers.
+    bool judge_server = false;
 };
 
 } // namespace briardrum
--- a/modules/packets/agent/server_packet_handler.cpp
+++ b/modules/packets/agent/server_packet_handler.cpp
@@ -3,6 +3,15 @@
 namespace briardrum
 {
 
+namespace
+{
+
+// A caller that receives an answer acknowledges it within two round trips. A
+// server that resets the flow of a silent caller has only given up on it.
+constexpr millis caller_silence_max = milliseconds(250);
+
+} // namespace
+
 server_packet_handler::server_packet_handler(agent_state& state,
                                              flow_opener& opener,
                                              owner_locator& locator,
@@ -72,6 +81,10 @@
     if (packet.opens)
     {
         row.server_sequence = packet.sequence;
+        if (packet.acknowledges)
+        {
+            row.data_start = packet.acknowledged;
+        }
         state_.server.on_opening_answered(now);
         return;
     }
@@ -80,6 +93,7 @@
         state_.set_phase(now, row, flow_phase::idle);
         notices_.announce(flow, row);
     }
+    judge_answer(now, flow, row, packet);
     row.confirmed = true;
     row.server_closed = row.server_closed || packet.closes;
     const auto answers = packet.payload_bytes > 0 || packet.closes;
@@ -103,6 +117,30 @@
     }
 }
 
+// The server breaks off a request if it ends the flow without an answer, or
+// resets it while the caller is still receiving. Once either end has closed the
+// flow, its end is no fault.
+auto server_packet_handler::judge_answer(millis now, const flow_key& flow,
+                                         const owned_flow& row,
+                                         const flow_packet& packet) -> void
+{
+    const auto asked = row.phase == flow_phase::asking;
+    const auto closed = row.caller_closed || row.server_closed;
+    const auto complete = asked && !row.request_has_gap;
+    const auto receiving = row.data_end.has_value() &&
+                           now - row.caller_heard_at <= caller_silence_max;
+    const auto ends = complete && packet.closes && packet.payload_bytes == 0;
+    const auto resets = packet.resets && (complete || receiving);
+    if (!closed && (ends || resets))
+    {
+        state_.conduct.on_broken_off(now, flow, row.known_since);
+    }
+    else if (asked && (packet.payload_bytes > 0 || packet.closes))
+    {
+        state_.conduct.on_answer(now, flow);
+    }
+}
+
 // Adds a flow that was opened before this agent started.
 auto server_packet_handler::adopt_from_server(millis now, const flow_key& flow,
                                               const flow_packet& packet)
--- a/modules/packets/agent/server_packet_handler.hpp
+++ b/modules/packets/agent/server_packet_handler.hpp
@@ -29,6 +29,8 @@
         -> void;
     auto on_answer(millis now, const flow_key& flow, owned_flow& row,
                    const flow_packet& packet) -> void;
+    auto judge_answer(millis now, const flow_key& flow, const owned_flow& row,
+                      const flow_packet& packet) -> void;
     auto on_returned(millis now, const flow_packet& packet) -> void;
     auto withhold_reset(millis now, const flow_key& flow, const owned_flow* row)
         -> void;
--- a/modules/routing/choice/service_candidates.hpp
+++ b/modules/routing/choice/service_candidates.hpp
@@ -12,7 +12,8 @@
 {
 
 // The candidates of one service for rendezvous hashing, rebuilt only when the
-// member view has changed.
+// member view has changed. A candidate's weight is the number of its slots
+// times the weight in its record.
 class service_candidates
 {
 public:
@@ -35,11 +36,14 @@
     {
         candidate item;
         incarnation_number life = 0;
+        std::uint8_t percent = 100;
         bool joining = false;
 
         auto operator==(const entry& other) const -> bool;
     };
 
+    static auto scale_weights(std::span<entry> entries) -> void;
+
     std::uint64_t epoch_ = ~std::uint64_t{0};
     std::vector<entry> entries_;
     std::vector<candidate> serving_;
--- a/modules/wire/messages/member_record.hpp
+++ b/modules/wire/messages/member_record.hpp
@@ -50,8 +50,8 @@
     // and the number of requests that the server runs concurrently.
     std::string service_name;
     std::uint32_t slots = 0;
-    // Percentage of the full weight, 1 to 100; reduced while a newly started
-    // server warms up.
+    // Percentage of the full weight, 1 to 100; reduced while the agent finds
+    // its server faulty.
     std::uint8_t weight_percent = 100;
     // Newest configuration version that the member has.
     configuration_version held_version = 0;
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -101,6 +101,22 @@
     CHECK(restored == bytes);
 }
 
+// Guards against judgements of servers in deployments that did not ask for it.
+TEST_CASE("servers are judged only with the contract for health")
+{
+    const auto judges = [](const std::string& lines)
+    {
+        const auto out = platform::parse_settings(
+            settings_text + lines, member_kind::agent, "settings");
+        REQUIRE(out.ok());
+        return out->judge_server;
+    };
+    CHECK_FALSE(judges(""));
+    CHECK_FALSE(judges("contracts=base,healthy,flows\n"));
+    CHECK(judges("contracts=base,health,flows\n"));
+    CHECK(judges("contracts=health\n"));
+}
+
 TEST_CASE("write_packet clears the returned flag")
 {
     byte_buffer bytes;
