--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -18,6 +18,7 @@
     out.warm_up_overshoot = settings.warm_up_overshoot;
     out.warm_up_slack = settings.warm_up_slack;
     out.needs_policy = settings.evacuation_deadline.has_value();
+    out.judge_server = settings.judge_server;
     return out;
 }
 
@@ -224,6 +225,10 @@
     out.counter("hedges_refused_total", it.hedges_of_known_flows,
                 {"reason", "flow_known"});
     out.counter("heartbeats_refused_total", bad_heartbeats_);
+    if (settings_.judge_server)
+    {
+        write_conduct_metrics(out);
+    }
     out.histogram("flow_wait_ms", waits_);
     out.histogram("flow_answer_ms", answers_);
     out.gauge("flows", core_.flow_count());
@@ -236,4 +241,16 @@
     }
 }
 
+auto packet_agent_daemon::write_conduct_metrics(metrics_text& out) const -> void
+{
+    const auto report = core_.conduct().report();
+    out.counter("server_found_faulty_total", core_.counters().found_faulty);
+    out.gauge("server_faulty", core_.conduct().is_faulty() ? 1 : 0);
+    out.gauge("server_intake_reduced", core_.intake().is_reduced() ? 1 : 0);
+    out.gauge("server_window_requests", report.requests);
+    out.gauge("server_window_unanswered", report.unanswered);
+    out.gauge("server_window_broken_off", report.broken_off);
+    out.gauge("server_answer_limit_ms", as_count(report.answer_limit));
+}
+
 } // namespace briardrum
--- a/modules/io/daemons/packet_process_settings.hpp
+++ b/modules/io/daemons/packet_process_settings.hpp
@@ -55,6 +55,8 @@
     // Slow start of the server; see packet_agent_settings.
     std::optional<double> warm_up_overshoot;
     std::optional<double> warm_up_slack;
+    // The server may fail requests while its health check passes.
+    bool judge_server = false;
 
     auto operator==(const packet_process_settings&) const -> bool = default;
 };
--- a/modules/packets/agent/agent_state.cpp
+++ b/modules/packets/agent/agent_state.cpp
@@ -45,6 +45,7 @@
       server(settings.service_name, settings.heartbeat_interval),
       admission(settings.admission),
       warm_up(warm_up_settings_of(settings), start),
+      conduct(settings.judge_server), intake(members.self().id),
       tag(service_tag_of(settings.service_name))
 {
 }
@@ -123,6 +124,10 @@
     {
         admission.end_transfer();
     }
+    if (phase == flow_phase::opening && before != flow_phase::opening)
+    {
+        intake.on_flow_started(now);
+    }
     row.phase = phase;
     row.phase_since = now;
     if (phase == flow_phase::idle)
@@ -142,6 +147,7 @@
     counters.hedges_lost += is_undecided_hedge(*row) ? 1 : 0;
     admission.remove(flow);
     set_phase(now, *row, flow_phase::probing);
+    conduct.forget(flow);
     flows.erase(flow);
 }
 
@@ -231,10 +237,12 @@
     }
 }
 
-// Returns true if the server, this process and the policy all accept new flows.
+// Returns true if the server, this process and the policy all accept new flows,
+// and the intake is not reduced to probes.
 auto agent_state::accepts_new_flows(millis now) const -> bool
 {
-    return !draining && !is_held_by_policy() && server.accepts_new_flows(now);
+    return !draining && !is_held_by_policy() && server.accepts_new_flows(now) &&
+           intake.allows_flow(now);
 }
 
 auto agent_state::is_evacuated() const -> bool
--- a/modules/packets/agent/open_flow_router.hpp
+++ b/modules/packets/agent/open_flow_router.hpp
@@ -25,8 +25,8 @@
                          const flow_packet& packet) -> void;
     auto deliver(millis now, const flow_key& flow, owned_flow& row,
                  const flow_packet& packet) -> void;
-    auto note_request(millis now, owned_flow& row, const flow_packet& packet)
-        -> void;
+    auto note_request(millis now, const flow_key& flow, owned_flow& row,
+                      const flow_packet& packet) -> void;
     auto is_open_at_another_server(const owned_flow& row,
                                    const flow_packet& packet) const -> bool;
     auto is_lost_hedge(const owned_flow& row, const flow_packet& packet) const
@@ -35,6 +35,8 @@
                        const flow_packet& packet) -> void;
     auto on_hedge_won(millis now, const flow_key& flow, owned_flow& row)
         -> void;
+    auto note_gap(const flow_key& flow, owned_flow& row,
+                  const flow_packet& packet) -> void;
     auto answer_search(const endpoint& from, owned_flow& row,
                        const flow_packet& packet) -> void;
     auto probe_server(millis now, const flow_packet& packet) -> owned_flow&;
--- a/modules/packets/agent/packet_agent_counters.hpp
+++ b/modules/packets/agent/packet_agent_counters.hpp
@@ -41,6 +41,8 @@
     std::uint64_t hedges_lost = 0;
     std::uint64_t hedges_refused_by_load = 0;
     std::uint64_t hedges_of_known_flows = 0;
+    // Times that the server was found faulty.
+    std::uint64_t found_faulty = 0;
 };
 
 } // namespace briardrum
--- a/modules/packets/agent/packet_agent_settings.hpp
+++ b/modules/packets/agent/packet_agent_settings.hpp
@@ -32,6 +32,9 @@
     std::optional<double> warm_up_slack;
     // No flow is started before the placement policy is known.
     bool needs_policy = false;
+    // The server may fail requests while its health check passes, and is judged
+    // by its answers.
+    bool judge_server = false;
 };
 
 } // namespace briardrum
