--- a/modules/io/daemons/packet_balancer_daemon.cpp
+++ b/modules/io/daemons/packet_balancer_daemon.cpp
@@ -71,7 +71,7 @@
 
 auto packet_balancer_daemon::start() -> absl::Status
 {
-    const auto hedging = reload_hedging(clock::now());
+    auto hedging = reload_hedging(clock::now());
     if (!hedging.ok())
     {
         return hedging;
