--- a/tests/unit/hedging_test.cpp
+++ b/tests/unit/hedging_test.cpp
@@ -1,6 +1,7 @@
 #include "bench/rig/packets/packet_fleet.hpp"
 #include "config/settings/hedging_settings.hpp"
 #include "platform/operator_configuration.hpp"
+#include "platform/packet_header.hpp"
 #include "tests/fakes/agent_fixture.hpp"
 
 #include <doctest/doctest.h>
@@ -695,6 +696,29 @@
     CHECK(it.core->counters().hedges_lost == 1);
 }
 
+// Guards against: the packet header carries a hedge or its marks as something
+// else, so that agents refuse every hedge, as those of an older build do.
+TEST_CASE("the packet header carries hedges and their marks")
+{
+    const byte_buffer opening(platform::header_bytes, 0);
+    auto packet = platform::read_packet(opening);
+    REQUIRE(packet.ok());
+    packet_label label;
+    for (const auto kind :
+         {label_kind::hedge, label_kind::forward, label_kind::hint})
+    {
+        label.kind = kind;
+        label.best_position = packet_label::hedged_mark;
+        label.waited_ms = 40;
+        byte_buffer bytes;
+        platform::write_packet(*packet, label, bytes);
+        const auto read = platform::read_packet(bytes);
+        REQUIRE(read.ok());
+        CHECK(read->label.kind == kind);
+        CHECK(read->label.best_position == packet_label::hedged_mark);
+    }
+}
+
 TEST_CASE("hedging settings are read, with comments and defaults")
 {
     const auto read = parse_hedging_settings(R"({
