Lost flows: dead agents count from their suspicion, servers are looked for at once

Ten agents whose servers had left were started with the others and taken away for good a second later. Until they had looked for a server, 300 ms after their start, they could not deny anything; and when they were declared dead, seconds after the last contact, each held proofs up for the callers' deadline once more.

An agent now looks for its server in its first tick, and a dead agent counts as out of reach since it became suspect.

--- a/modules/packets/agent/agent_census.cpp
+++ b/modules/packets/agent/agent_census.cpp
@@ -32,27 +32,41 @@
         {
             continue;
         }
-        if (is_live(record.state))
-        {
-            departed_.erase(record.id);
-        }
-        else
-        {
-            on_departed(now, record);
-        }
+        follow(now, record);
     }
     known_ = std::make_shared<const id_list>(list_known_members(members_));
     forget_unknown(now);
 }
 
+auto agent_census::follow(millis now, const member_record& record) -> void
+{
+    if (record.state == member_state::suspect)
+    {
+        suspected_since_.try_emplace(record.id, now);
+    }
+    else if (is_live(record.state))
+    {
+        suspected_since_.erase(record.id);
+    }
+    if (is_live(record.state))
+    {
+        departed_.erase(record.id);
+    }
+    else
+    {
+        on_departed(now, record);
+    }
+}
+
 // Members without a record are remembered no longer than needed.
 auto agent_census::forget_unknown(millis now) -> void
 {
-    std::erase_if(replies_,
-                  [&](const auto& item)
-                  {
-                      return members_.find(item.first) == nullptr;
-                  });
+    const auto is_unknown = [&](const auto& item)
+    {
+        return members_.find(item.first) == nullptr;
+    };
+    std::erase_if(replies_, is_unknown);
+    std::erase_if(suspected_since_, is_unknown);
     std::erase_if(departed_,
                   [&](const auto& item)
                   {
@@ -72,8 +86,13 @@
     }
     else
     {
+        // A dead member was out of reach when it became suspect.
+        const auto suspected = suspected_since_.find(record.id);
+        const auto since =
+            suspected == suspected_since_.end() ? now : suspected->second;
         const auto [it, added] = departed_.try_emplace(
-            record.id, departed_agent{record.data_address.address, now, left});
+            record.id,
+            departed_agent{record.data_address.address, since, left});
         it->second.stopped = it->second.stopped || left;
     }
 }
--- a/modules/packets/agent/agent_census.hpp
+++ b/modules/packets/agent/agent_census.hpp
@@ -102,6 +102,7 @@
         bool stopped = false;
     };
 
+    auto follow(millis now, const member_record& record) -> void;
     auto forget_unknown(millis now) -> void;
     auto agreed_query(member_id id) const -> std::uint64_t;
     auto is_of_concern(millis now, const departed_agent& it) const -> bool;
@@ -112,6 +113,7 @@
     millis started_at_;
     std::unordered_map<member_id, reply> replies_;
     std::map<member_id, departed_agent> departed_;
+    std::map<member_id, millis> suspected_since_;
     bool has_registered_agents_ = false;
     std::uint64_t epoch_ = 0;
     // The live members that answer flow queries, this one included.
--- a/modules/packets/agent/local_server.hpp
+++ b/modules/packets/agent/local_server.hpp
@@ -43,9 +43,10 @@
     // Time without a heartbeat, in tenths of the interval, after which one is
     // overdue.
     static constexpr int overdue_tenths = 13;
-    // Time that a running server takes at most to send its first heartbeat
-    // after a common start with the agent.
-    static constexpr millis first_heartbeat_timeout = milliseconds(300);
+    // Time after the start of the agent from which a server that has not sent a
+    // heartbeat is looked for. If no process runs then, no flow is left from
+    // before the start, which callers wait to hear after a power loss.
+    static constexpr millis first_heartbeat_timeout = milliseconds(20);
     // Interval between attempts to send an opening packet to an unresponsive
     // server.
     static constexpr millis retry_interval = milliseconds(250);
--- a/tests/unit/lost_flow_test.cpp
+++ b/tests/unit/lost_flow_test.cpp
@@ -279,6 +279,25 @@
     CHECK(it.resets.size() == 1);
 }
 
+// Guards against: a dead agent that nobody has reached for seconds holds proofs
+// up for the deadline again, from the moment in which it is declared dead.
+TEST_CASE("a dead agent was out of reach since it became suspect")
+{
+    lost_flow_fixture it;
+    auto gone = it.record_of(2);
+    gone.state = member_state::suspect;
+    it.announce(gone);
+    it.advance_time(seconds(2));
+    it.receive_request(milliseconds(800));
+    it.deny_by_all(1);
+    CHECK(it.resets.empty());
+    gone.state = member_state::dead;
+    it.announce(gone);
+    it.advance_time(milliseconds(150));
+    it.deny_by_all(1);
+    CHECK(it.resets.size() == 1);
+}
+
 // Guards against: a registered agent that did not come back after a power loss
 // blocks the proofs of every process that started since.
 TEST_CASE(
