Membership: members that get each other's addresses introduce themselves

A process now sends its own record, one datagram, to each address that it learns, and a member that hears a new sender answers with its own.

--- a/modules/membership/gossip/gossiper.cpp
+++ b/modules/membership/gossip/gossiper.cpp
@@ -69,11 +69,17 @@
         if (known == start_addresses_.end() && it != own().control_address)
         {
             start_addresses_.push_back(it);
+            introduce(it);
             contact(it);
         }
     }
 }
 
+auto gossiper::introduce(const endpoint& address) -> void
+{
+    send_(address, gossip_message{{own()}, false});
+}
+
 auto gossiper::contact(const endpoint& address) -> void
 {
     const auto known = std::any_of(contacts_.begin(), contacts_.end(),
--- a/modules/membership/gossip/gossiper.hpp
+++ b/modules/membership/gossip/gossiper.hpp
@@ -29,9 +29,13 @@
              const membership_settings& settings, send_hook send,
              std::uint64_t seed);
 
-    // Adds start addresses; known ones are ignored.
+    // Adds start addresses and sends the own record to each; known ones are
+    // ignored.
     auto add_start_addresses(std::span<const endpoint> more) -> void;
 
+    // Sends the own record to an address.
+    auto introduce(const endpoint& address) -> void;
+
     // Notes an address at which an unknown member runs.
     auto contact(const endpoint& address) -> void;
 
--- a/modules/membership/member_view.cpp
+++ b/modules/membership/member_view.cpp
@@ -145,6 +145,7 @@
     const auto gossip_further =
         gossip.records.size() <= settings_.records_per_message;
     std::vector<member_id> outdated;
+    const auto is_new_sender = find(message.from) == nullptr;
     for (const auto& update : gossip.records)
     {
         if (on_update(now, update, gossip_further) == merge_outcome::stale)
@@ -163,6 +164,12 @@
         return;
     }
     record_sync_answer(to);
+    // After a restart of many members each is told of the others by themselves,
+    // which takes one round trip; rounds of gossip take several intervals.
+    if (is_new_sender && gossip.records.size() == 1)
+    {
+        gossiper_.introduce(to);
+    }
     if (!outdated.empty())
     {
         gossiper_.send_records(to, outdated);
--- a/tests/unit/membership_spread_test.cpp
+++ b/tests/unit/membership_spread_test.cpp
@@ -44,6 +44,29 @@
     }
 }
 
+// Guards against: after a loss of power every member knows the others only
+// several rounds of gossip later, and the proofs of lost flows wait for that.
+TEST_CASE("members that have each other's addresses know each other after a "
+          "round trip")
+{
+    membership_fleet fleet(1, {0, 0, milliseconds(4), {}});
+    start_agents(fleet, 60);
+    std::vector<endpoint> addresses;
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+    {
+        addresses.push_back(fleet.view(i).self().control_address);
+    }
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+    {
+        fleet.view(i).add_start_addresses(addresses);
+    }
+    fleet.run(milliseconds(20));
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+    {
+        CHECK(fleet.view(i).live().size() == fleet.size());
+    }
+}
+
 TEST_CASE("a change reaches every member within two seconds")
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed)
