--- a/review/stand_ins_2/site.h
+++ b/review/stand_ins_2/site.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <csignal>
 #include <cstdarg>
 #include <cstdint>
@@ -260,6 +261,9 @@
     using reply = std::function<void(int, const std::string&)>;
     using handler = std::function<void(const http_message&, reply)>;
 
+    // Rate of the link to the callers; 0: not limited.
+    std::size_t bytes_per_s = 0;
+
     auto start(const address& at, handler handle) -> bool
     {
         handle_ = std::move(handle);
@@ -284,9 +288,43 @@
     {
         int fd = -1;
         std::string in;
+        std::string out;
+        // Bytes of out that the link has taken since it began to send.
+        std::size_t taken = 0;
+        std::int64_t sending_since = 0;
         ~connection() { close(fd); }
     };
 
+    // Sends what the link and the peer take now, and the rest later.
+    void pump(const std::shared_ptr<connection>& it)
+    {
+        while (!it->out.empty())
+        {
+            auto n = it->out.size();
+            if (bytes_per_s != 0)
+            {
+                const auto ms = now_ms() - it->sending_since;
+                const auto allowed =
+                    std::size_t(ms) * bytes_per_s / 1000 + 1500;
+                n = allowed > it->taken ? std::min(n, allowed - it->taken) : 0;
+            }
+            const auto sent =
+                n == 0 ? 0 : send(it->fd, it->out.data(), n, MSG_NOSIGNAL);
+            if (sent < 0 && errno != EAGAIN)
+            {
+                it->out.clear();
+                return;
+            }
+            if (sent <= 0)
+            {
+                loop.after(2, [this, it] { pump(it); });
+                return;
+            }
+            it->taken += std::size_t(sent);
+            it->out.erase(0, std::size_t(sent));
+        }
+    }
+
     void accept_one()
     {
         const int fd = accept4(fd_, nullptr, nullptr,
@@ -313,15 +351,21 @@
         while (auto message = take_message(it->in))
         {
             handle_(*message,
-                    [it](int status, const std::string& body)
+                    [this, it](int status, const std::string& body)
                     {
                         const auto out =
                             "HTTP/1.1 " + std::to_string(status) +
                             " X\r\nContent-Type: application/json\r\n"
                             "Store-Era: 1\r\nContent-Length: " +
                             std::to_string(body.size()) + "\r\n\r\n" + body;
-                        (void)!send(it->fd, out.data(), out.size(),
-                                    MSG_NOSIGNAL);
+                        const auto idle = it->out.empty();
+                        it->out += out;
+                        if (idle)
+                        {
+                            it->taken = 0;
+                            it->sending_since = now_ms();
+                            pump(it);
+                        }
                     });
         }
     }
@@ -448,6 +492,17 @@
         }
     }
 
+    // Serves at another address too, over a link of this rate.
+    void serve_slowly(const address& at, std::size_t bytes_per_s)
+    {
+        slow_.bytes_per_s = bytes_per_s;
+        if (!slow_.start(at, [this](const http_message& in, auto reply)
+                         { serve(in, std::move(reply)); }))
+        {
+            cannot_run("the store's second address");
+        }
+    }
+
     // Writes as the operator does.
     void put(const std::string& key, const std::string& value)
     {
@@ -456,7 +511,7 @@
         it.created = it.created == 0 ? at : it.created;
         it.value = value;
         it.revision = at;
-        log_.push_back({at, key});
+        log_.push_back({at, key, it});
         wake();
     }
 
@@ -472,6 +527,8 @@
     {
         std::int64_t revision;
         std::string key;
+        // As it was written; nothing if it was removed.
+        std::optional<item> value;
     };
     struct watcher
     {
@@ -498,17 +555,16 @@
             {
                 continue;
             }
-            const auto found = items_.find(it.key);
-            if (found == items_.end())
+            if (it.value.has_value())
+            {
+                out.push_back(show(it.key, *it.value));
+            }
+            else
             {
                 out.push_back({{"key", it.key},
                                {"revision", it.revision},
                                {"removed", true}});
             }
-            else if (found->second.revision == it.revision)
-            {
-                out.push_back(show(it.key, found->second));
-            }
         }
         return out;
     }
@@ -651,18 +707,19 @@
             row.created = row.created == 0 ? at : row.created;
             row.value = base64(it["value"], true);
             row.revision = at;
-            log_.push_back({at, it["key"]});
+            log_.push_back({at, it["key"], row});
         }
         for (const auto& it : in["remove"])
         {
             items_.erase(it.get<std::string>());
-            log_.push_back({at, it});
+            log_.push_back({at, it.get<std::string>(), std::nullopt});
         }
         reply(200, json{{"revision", at}}.dump());
         wake();
     }
 
     http_listener http_;
+    http_listener slow_;
     std::map<std::string, item> items_;
     std::vector<change> log_;
     std::map<int, watcher> watchers_;
@@ -1147,8 +1204,29 @@
         return out;
     }
 
+    auto is_ready(std::uint32_t front) const -> bool
+    {
+        for (const auto& it : fronts_)
+        {
+            if (it.ip == front)
+            {
+                return it.misses == 0;
+            }
+        }
+        return false;
+    }
+
+    // Set: every packet goes to this balancer, as the platform's few flows that
+    // are sent directly to each daemon that is ready.
+    std::optional<std::uint32_t> direct;
+
     void forward(int fd, const packet& in)
     {
+        if (direct.has_value())
+        {
+            send_udp(fd, {*direct, net_.port(port_data)}, write_packet(in));
+            return;
+        }
         std::vector<std::uint32_t> rotation;
         for (const auto& it : fronts_)
         {
@@ -1504,6 +1582,11 @@
     std::vector<std::string> service_names;
     int flow_max_s = 60;
     int grace_s = 6;
+    int config_apply_ms = 3000;
+    int stable_window_ms = 4000;
+    // The store's address in the settings of processes that are added now.
+    std::optional<address> other_store;
+    int link_mbps = 1000;
 
     deployment(int argc, char** argv)
     {
@@ -1534,7 +1617,9 @@
 
     auto route_at(int n) const -> address { return {net.ip(9, n), 443}; }
 
-    void configure(int version, const std::vector<route_spec>& routes)
+    // Returns the length of what the operator writes.
+    auto configure(int version, const std::vector<route_spec>& routes)
+        -> std::size_t
     {
         json out = {{"version", version},
                     {"routes", json::array()},
@@ -1565,8 +1650,11 @@
                                        {"protocol", "h1"},
                                        {"tls", false}});
         }
-        store.put("op/config", out.dump());
-        note("operator: configuration %d is acknowledged", version);
+        const auto value = out.dump();
+        store.put("op/config", value);
+        note("operator: configuration %d is acknowledged, %zu bytes", version,
+             value.size());
+        return value.size();
     }
 
     auto add_balancer(int n) -> process&
@@ -1592,6 +1680,11 @@
         return *servers.back();
     }
 
+    auto is_ready(int balancer) const -> bool
+    {
+        return routers.is_ready(net.front(balancer));
+    }
+
     // Starts the router's checks and waits until all balancers are ready.
     void wait_until_ready(int balancers)
     {
@@ -1631,20 +1724,25 @@
             "\nseeds=" + text(address{net.front(1), net.port(port_control)}) +
             "\nbootstrap=true\ninFaultBudget=false\nlimits.cpuShare=0.25\n"
             "limits.cores=1\nlimits.memoryMb=260\nlimits.maxFds=4100\n"
-            "limits.linkMbps=1000.0\nlimits.diskMb=0\ndiscovery=local\n"
+            "limits.linkMbps=" + std::to_string(link_mbps) +
+            ".0\nlimits.diskMb=0\ndiscovery=local\n"
             "entryType=announce\nheartbeatMs=770\n"
             "contracts=base,drain,config,cost,recover,flows,platform\n"
             "faultTolerance.machines=1\nfaultTolerance.zones=0\n"
             "faultTolerance.regions=0\nbounds.seedLagS=3\n"
-            "bounds.addrReuseS=2\nbounds.stableWindowMs=4000\n"
+            "bounds.addrReuseS=2\nbounds.stableWindowMs=" +
+            std::to_string(stable_window_ms) +
+            "\n"
             "bounds.ackMs=5000\nbounds.catchUpS=4\nbounds.drainMs=3000\n"
             "bounds.graceS=" + std::to_string(grace_s) +
-            "\nbounds.lossSlackMs=200\nbounds.configApplyMs=3000\n"
+            "\nbounds.lossSlackMs=200\nbounds.configApplyMs=" +
+            std::to_string(config_apply_ms) +
+            "\n"
             "bounds.rollbackSlackMs=250\nbounds.maxStretchMs=12000\n"
             "bounds.recoveryS=12\nbounds.reorderWindowMs=2000\n"
             "bounds.flowMaxS=" + std::to_string(flow_max_s) +
             "\necmpHash=mod\nforwardingMode=agent\n"
-            "platform.address=" + text(net.store()) +
+            "platform.address=" + text(other_store.value_or(net.store())) +
             "\nplatform.forwardingMode=kv\nplatform.writesPerS=400\n"
             "platform.readsPerS=2000\nplatform.historyS=20\n"
             "platform.valueBytes=1048576\nplatform.ttlMinMs=1000\n";
