Agents log what a heartbeat is held against

server_heartbeat has the server that was held before it, the age of its last heartbeat and packet, and the number of flows. No decision changes.

--- a/modules/packets/agent/local_server.cpp
+++ b/modules/packets/agent/local_server.cpp
@@ -260,6 +260,22 @@
                : 1;
 }
 
+auto local_server::server_id() const -> std::string_view
+{
+    return last_heartbeat_.has_value() ? last_heartbeat_->server_id
+                                       : std::string_view{};
+}
+
+auto local_server::last_heartbeat_at() const -> millis
+{
+    return last_heartbeat_at_;
+}
+
+auto local_server::last_heard_at() const -> millis
+{
+    return std::max(last_heard_at_, last_heartbeat_at_);
+}
+
 auto local_server::incarnation_started() const -> millis
 {
     return last_heartbeat_.has_value() ? last_heartbeat_->started_at : millis{};
--- a/modules/packets/agent/local_server.hpp
+++ b/modules/packets/agent/local_server.hpp
@@ -107,9 +107,16 @@
     auto service_name() const -> const std::string&;
     auto slots() const -> std::uint32_t;
 
-    // Start time of the current incarnation; 0 before the first heartbeat.
+    // Id and start time of the current incarnation; empty and 0 before the
+    // first heartbeat.
+    auto server_id() const -> std::string_view;
     auto incarnation_started() const -> millis;
 
+    // Times of the last heartbeat of the current incarnation, and of the last
+    // heartbeat or packet.
+    auto last_heartbeat_at() const -> millis;
+    auto last_heard_at() const -> millis;
+
 private:
     // Heartbeats that were taken for late, one after the other.
     struct lower_sequences
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -102,15 +102,11 @@
 auto packet_agent::on_heartbeat(millis now, const server_heartbeat& heartbeat)
     -> heartbeat_outcome
 {
+    auto report = heartbeat_event(now, heartbeat);
     const auto outcome = state_.server.on_heartbeat(now, heartbeat);
     if (outcome != heartbeat_outcome::renewed)
     {
-        state_.emit(event("server_heartbeat")
-                        .with("server", heartbeat.server_id)
-                        .with("service", heartbeat.service_name)
-                        .with("sequence", heartbeat.sequence)
-                        .with("draining", heartbeat.draining ? "yes" : "no")
-                        .with("outcome", to_string(outcome)));
+        state_.emit(std::move(report).with("outcome", to_string(outcome)));
     }
     if (outcome == heartbeat_outcome::late ||
         outcome == heartbeat_outcome::outdated)
@@ -133,6 +129,31 @@
     return outcome;
 }
 
+// The heartbeat, and what was known of the server before it.
+auto packet_agent::heartbeat_event(millis now,
+                                   const server_heartbeat& heartbeat) const
+    -> event
+{
+    auto out = event("server_heartbeat")
+                   .with("server", heartbeat.server_id)
+                   .with("service", heartbeat.service_name)
+                   .with("started_ms", as_count(heartbeat.started_at))
+                   .with("sequence", heartbeat.sequence)
+                   .with("draining", heartbeat.draining ? "yes" : "no")
+                   .with("flows", std::uint64_t{state_.flows.size()});
+    const auto& server = state_.server;
+    if (!server.is_known())
+    {
+        return out;
+    }
+    return std::move(out)
+        .with("held_server", server.server_id())
+        .with("held_service", server.service_name())
+        .with("held_started_ms", as_count(server.incarnation_started()))
+        .with("heartbeat_ms_ago", as_count(now - server.last_heartbeat_at()))
+        .with("heard_ms_ago", as_count(now - server.last_heard_at()));
+}
+
 auto packet_agent::on_leave(millis now, const std::string& server_id) -> bool
 {
     const auto known = state_.server.on_leave(now, server_id);
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -94,6 +94,8 @@
     auto update_own_record(millis now) -> void;
     auto update_warm_up_rate(millis now) -> void;
     auto look_for_server(millis now) -> void;
+    auto heartbeat_event(millis now, const server_heartbeat& heartbeat) const
+        -> event;
 
     agent_state state_;
     ownership_notices notices_;
