A heartbeat replaces a server only with evidence of its end

Cause: local_server took any heartbeat with another id or a later start time for a new incarnation, and packet_agent gave up the flows of the former one without a look at whether its process had ended. Ruled out besides: a server that was silent (heard 150 ms before), a proof of lost flows, packets that the server returned (reason=server_replaced each time).

A heartbeat that contradicts the server as it is known now counts only with evidence: the process was seen to end (no listener, an opening packet refused, a flow in use no longer held), it has left, it has been silent for three intervals, or its heartbeats are overdue while the others go on. Until then it is answered with 409 and changes nothing; the server's next heartbeat refutes it. Flows are only reset when the process has ended. So no real server is shut out: a new incarnation whose predecessor ended is accepted with its first heartbeat, one after a restart that nothing showed, or of another service, within three intervals. Agents read no configuration for this.

The same cause elsewhere in heartbeats, mended with it: - a first heartbeat after the agent's restart that tells of a server that has just started no longer makes the agent deny flows that its server holds; the next one has to confirm it, unless no process was found before; - another service under the server's own id and start, other slots, another warm-up time, and ready after draining count once they are repeated. Draining counts at once, since such a server must not get new flows.

--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -186,6 +186,11 @@
         return {http_bad_request, "text/plain", ""};
     }
     const auto outcome = core_.on_heartbeat(clock::now(), heartbeat);
+    if (outcome == heartbeat_outcome::unconfirmed)
+    {
+        ++unconfirmed_requests_;
+        return {http_conflict, "text/plain", ""};
+    }
     if (outcome == heartbeat_outcome::outdated)
     {
         return {http_conflict, "text/plain", ""};
@@ -225,6 +230,7 @@
     out.counter("hedges_refused_total", it.hedges_of_known_flows,
                 {"reason", "flow_known"});
     out.counter("heartbeats_refused_total", bad_heartbeats_);
+    out.counter("server_requests_unconfirmed_total", unconfirmed_requests_);
     if (settings_.judge_server)
     {
         write_conduct_metrics(out);
--- a/modules/io/daemons/packet_agent_daemon.hpp
+++ b/modules/io/daemons/packet_agent_daemon.hpp
@@ -56,6 +56,8 @@
     http_server heartbeats_;
     packet_agent core_;
     std::uint64_t bad_heartbeats_ = 0;
+    // Heartbeats that contradict the known server.
+    std::uint64_t unconfirmed_requests_ = 0;
 };
 
 } // namespace briardrum
--- a/modules/packets/agent/local_server.cpp
+++ b/modules/packets/agent/local_server.cpp
@@ -19,115 +19,279 @@
     case heartbeat_outcome::late:
         return "late";
     case heartbeat_outcome::outdated:
+        return "outdated";
+    case heartbeat_outcome::unconfirmed:
         break;
     }
-    return "outdated";
+    return "unconfirmed";
 }
 
 local_server::local_server(std::string service_name, millis heartbeat_interval)
-    : service_name_(std::move(service_name)),
-      heartbeat_interval_(heartbeat_interval)
+    : configured_service_(service_name), service_name_(std::move(service_name)),
+      heartbeat_interval_(heartbeat_interval),
+      unconfirmed_(heartbeat_interval * heartbeats_missed_max)
 {
 }
 
 auto local_server::on_heartbeat(millis now, const server_heartbeat& heartbeat)
     -> heartbeat_outcome
 {
-    if (last_heartbeat_.has_value())
+    if (!last_heartbeat_.has_value())
     {
-        const auto same = last_heartbeat_->server_id == heartbeat.server_id &&
-                          last_heartbeat_->started_at == heartbeat.started_at;
-        // Wall clocks can jump, so an earlier start time only marks an older
-        // incarnation while the current one still sends heartbeats.
-        const auto silent = now - last_heartbeat_at_ >
-                            heartbeat_interval_ * heartbeats_missed_max;
-        if (!same && !silent &&
-            heartbeat.started_at < last_heartbeat_->started_at)
-        {
-            return heartbeat_outcome::outdated;
-        }
-        if (same)
-        {
-            return on_same_incarnation(now, heartbeat);
-        }
+        return on_first(now, heartbeat);
+    }
+    if (!is_same_incarnation(*last_heartbeat_, heartbeat))
+    {
+        return on_other_incarnation(now, heartbeat);
+    }
+    if (heartbeat.service_name != service_name_)
+    {
+        return on_other_service(now, heartbeat);
+    }
+    return on_same_incarnation(now, heartbeat);
+}
+
+// A server of the configured service counts at once, as callers wait for it. A
+// server of another one, such as a service that was renamed, must go on.
+auto local_server::on_first(millis now, const server_heartbeat& heartbeat)
+    -> heartbeat_outcome
+{
+    const auto next = unconfirmed_.add(now, heartbeat);
+    if (heartbeat.service_name != service_name_ && !is_confirmed(now, next))
+    {
+        return heartbeat_outcome::unconfirmed;
+    }
+    adopt(now, next);
+    return heartbeat_outcome::changed;
+}
+
+auto local_server::on_other_incarnation(millis now,
+                                        const server_heartbeat& heartbeat)
+    -> heartbeat_outcome
+{
+    claims_recent_start_ = false;
+    const auto next = unconfirmed_.add(now, heartbeat);
+    const auto confirmed = is_confirmed(now, next);
+    // Wall clocks can jump, so an earlier start time only marks an older
+    // incarnation while the current one still sends heartbeats.
+    const auto silent =
+        now - last_heartbeat_at_ > heartbeat_interval_ * heartbeats_missed_max;
+    const auto earlier = heartbeat.started_at < last_heartbeat_->started_at;
+    if (!confirmed && !silent && earlier)
+    {
+        return heartbeat_outcome::outdated;
+    }
+    const auto is_expected = heartbeat.service_name == service_name_ ||
+                             heartbeat.service_name == configured_service_;
+    const auto gone = silent || left_ || has_process_ended();
+    if (!confirmed && !(gone && is_expected))
+    {
+        return heartbeat_outcome::unconfirmed;
+    }
+    adopt(now, next);
+    return heartbeat_outcome::replaced;
+}
+
+// The server of a service that was renamed may run on.
+auto local_server::on_other_service(millis now,
+                                    const server_heartbeat& heartbeat)
+    -> heartbeat_outcome
+{
+    if (!is_confirmed(now, unconfirmed_.add(now, heartbeat)))
+    {
+        return heartbeat_outcome::unconfirmed;
     }
-    const auto first = !last_heartbeat_.has_value();
-    // The first heartbeat of an incarnation has at most the sequence number 1.
-    predates_agent_ =
-        heartbeat.sequence > 1 && !may_have_started_since_check(now, heartbeat);
-    lower_sequences_.reset();
-    absent_ = false;
-    last_heartbeat_ = heartbeat;
     service_name_ = heartbeat.service_name;
-    last_heartbeat_at_ = now;
-    last_heard_at_ = now;
+    renew(now, heartbeat);
+    return heartbeat_outcome::changed;
+}
+
+auto local_server::on_same_incarnation(millis now,
+                                       const server_heartbeat& heartbeat)
+    -> heartbeat_outcome
+{
+    if (heartbeat.sequence <= last_heartbeat_->sequence)
+    {
+        return on_out_of_order(now, heartbeat);
+    }
+    // An older server would have been heard meanwhile.
+    const auto heard_long_enough =
+        now - adopted_at_ >= heartbeat_interval_ * 3 / 4;
+    if (claims_recent_start_ && heard_long_enough)
+    {
+        claims_recent_start_ = false;
+        predates_agent_ =
+            heartbeat.sequence > highest_sequence_since(now, adopted_at_);
+    }
+    return renew(now, heartbeat);
+}
+
+// A heartbeat with a sequence number far ahead may come from another writer.
+// The server's own numbers are lower, but go on rising for as long as it lives;
+// delayed heartbeats arrive together, or between later ones.
+auto local_server::on_out_of_order(millis now,
+                                   const server_heartbeat& heartbeat)
+    -> heartbeat_outcome
+{
+    if (is_confirmed(now, unconfirmed_.add(now, heartbeat)))
+    {
+        restart_sequence(now, heartbeat);
+        return heartbeat_outcome::changed;
+    }
+    // A server that drains does so until it leaves.
+    const auto drains = heartbeat.draining && !draining_;
+    if (drains)
+    {
+        follow_draining(true);
+    }
+    return drains ? heartbeat_outcome::changed : heartbeat_outcome::late;
+}
+
+auto local_server::adopt(millis now, const unconfirmed_incarnation& next)
+    -> void
+{
+    predates_agent_ = !is_started_after_agent(now, next);
+    claims_recent_start_ =
+        predates_agent_ && next.first_sequence <= 1 && !next.contradicted;
+    const auto& heartbeat = next.newest;
+    service_name_ = heartbeat.service_name;
+    adopted_at_ = now;
     unanswered_since_.reset();
+    refused_at_.reset();
+    flow_lost_at_.reset();
     left_ = false;
-    return first ? heartbeat_outcome::changed : heartbeat_outcome::replaced;
+    restart_sequence(now, heartbeat);
+}
+
+// A server that holds flows from before the start of the agent must not be
+// taken for a younger one, for the agent would deny those flows. The first
+// heartbeat of an incarnation has at most the sequence number 1.
+auto local_server::is_started_after_agent(
+    millis now, const unconfirmed_incarnation& next) const -> bool
+{
+    if (may_have_started_since_check(now, next.newest))
+    {
+        return true;
+    }
+    const auto replaces = last_heartbeat_.has_value();
+    const auto alone = now - next.first_at >= heartbeat_interval_ / 2;
+    return next.first_sequence <= 1 && !next.contradicted &&
+           (alone || (replaces && has_process_ended()));
 }
 
 // Returns true for a server that may have started after this VM was found to
-// have none: it is younger than the agent, too. A heartbeat that is not
-// acknowledged is followed by the next one sooner, so that numbers may rise
-// faster than once in an interval.
+// have none: it is younger than the agent, too.
 auto local_server::may_have_started_since_check(
     millis now, const server_heartbeat& heartbeat) const -> bool
+{
+    return absent_ &&
+           heartbeat.sequence <= highest_sequence_since(now, not_found_at_);
+}
+
+// Returns the highest sequence number of a server that started at this time. A
+// heartbeat that is not acknowledged is followed by the next one sooner, so
+// that numbers may rise faster than once in an interval.
+auto local_server::highest_sequence_since(millis now, millis start) const
+    -> std::uint64_t
 {
     constexpr std::int64_t heartbeats_per_interval_max = 2;
     const auto interval_ms =
         std::max<std::int64_t>(1, heartbeat_interval_.count);
-    const auto intervals = (now - not_found_at_).count / interval_ms + 1;
-    return absent_ &&
-           heartbeat.sequence <= static_cast<std::uint64_t>(
-                                     intervals * heartbeats_per_interval_max);
+    const auto intervals = (now - start).count / interval_ms + 1;
+    return static_cast<std::uint64_t>(intervals * heartbeats_per_interval_max);
 }
 
-auto local_server::on_same_incarnation(millis now,
-                                       const server_heartbeat& heartbeat)
+auto local_server::renew(millis now, const server_heartbeat& heartbeat)
     -> heartbeat_outcome
 {
-    const auto in_order = heartbeat.sequence > last_heartbeat_->sequence;
-    const auto restarted =
-        !in_order && is_sequence_restarted(now, heartbeat.sequence);
-    if (!in_order && !restarted)
-    {
-        // A server that drains does so until it leaves.
-        const auto drains = heartbeat.draining && !last_heartbeat_->draining;
-        last_heartbeat_->draining |= heartbeat.draining;
-        return drains ? heartbeat_outcome::changed : heartbeat_outcome::late;
-    }
-    const auto changed = restarted ||
-                         last_heartbeat_->draining != heartbeat.draining ||
-                         last_heartbeat_->slots != heartbeat.slots ||
-                         service_name_ != heartbeat.service_name;
+    const auto was_draining = draining_;
+    const auto former_slots = slots_;
+    const auto former_service = last_heartbeat_->service_name;
+    follow_draining(heartbeat.draining);
+    follow_slots(heartbeat.slots);
+    follow_warm_up(now, heartbeat.warm_up_left);
+    record(now, heartbeat);
+    const auto changed = was_draining != draining_ || former_slots != slots_ ||
+                         former_service != heartbeat.service_name;
+    return changed ? heartbeat_outcome::changed : heartbeat_outcome::renewed;
+}
+
+// Takes over all that a heartbeat says, whatever the last one said.
+auto local_server::restart_sequence(millis now,
+                                    const server_heartbeat& heartbeat) -> void
+{
+    draining_ = heartbeat.draining;
+    ready_while_draining_ = 0;
+    slots_ = heartbeat.slots;
+    warm_up_ = {heartbeat.warm_up_left, now};
+    stated_warm_up_ = warm_up_;
+    record(now, heartbeat);
+}
+
+auto local_server::record(millis now, const server_heartbeat& heartbeat) -> void
+{
     last_heartbeat_ = heartbeat;
-    service_name_ = heartbeat.service_name;
     last_heartbeat_at_ = now;
     last_heard_at_ = now;
-    lower_sequences_.reset();
+    stated_slots_ = heartbeat.slots;
+    unconfirmed_.clear();
     absent_ = false;
-    return changed ? heartbeat_outcome::changed : heartbeat_outcome::renewed;
 }
 
-// A heartbeat with a sequence number far ahead may come from another writer.
-// The server's own numbers are lower, but go on rising for as long as it lives;
-// delayed heartbeats arrive together, or between later ones.
-auto local_server::is_sequence_restarted(millis now, std::uint64_t sequence)
-    -> bool
+// A server that drains does so until it leaves, so either the heartbeat that
+// says so or the one that takes it back is false. The server must not get new
+// flows while it drains, so only the latter has to be repeated.
+auto local_server::follow_draining(bool draining) -> void
 {
-    const auto continues = lower_sequences_.has_value() &&
-                           sequence > lower_sequences_->last &&
-                           now - lower_sequences_->last_at <=
-                               heartbeat_interval_ * heartbeats_missed_max;
-    if (!continues)
+    if (draining || !draining_)
     {
-        lower_sequences_ = {sequence, now, now};
-        return false;
+        draining_ = draining;
+        ready_while_draining_ = 0;
+        return;
     }
-    lower_sequences_->last = sequence;
-    lower_sequences_->last_at = now;
-    return now - lower_sequences_->since >=
-           heartbeat_interval_ * intervals_until_restarted;
+    ++ready_while_draining_;
+    draining_ = ready_while_draining_ < heartbeats_to_confirm;
+}
+
+// The slots of an incarnation do not change.
+auto local_server::follow_slots(std::uint32_t slots) -> void
+{
+    slots_ = slots == stated_slots_ ? slots : slots_;
+}
+
+// The remaining time runs down. A heartbeat that states another one counts once
+// the next heartbeat agrees with it.
+auto local_server::follow_warm_up(millis now, millis left) -> void
+{
+    const auto agrees = [&](const warm_up_statement& it)
+    {
+        const auto expected = std::max(millis{}, it.left - (now - it.at));
+        return left - expected <= heartbeat_interval_ &&
+               expected - left <= heartbeat_interval_;
+    };
+    const auto counts = agrees(warm_up_) || agrees(stated_warm_up_);
+    stated_warm_up_ = {left, now};
+    warm_up_ = counts ? stated_warm_up_ : warm_up_;
+}
+
+// Returns true if this incarnation goes on while the current one has not been
+// heard for too long.
+auto local_server::is_confirmed(millis now,
+                                const unconfirmed_incarnation& other) const
+    -> bool
+{
+    const auto known = last_heartbeat_.has_value();
+    const auto silence = now - (known ? last_heartbeat_at_ : other.first_at);
+    // Heartbeats that were held up arrive together.
+    const auto spread =
+        other.last_at - other.first_at >= heartbeat_interval_ / 2;
+    return other.heartbeats >= heartbeats_to_confirm && spread &&
+           silence > overdue_time();
+}
+
+auto local_server::overdue_time() const -> millis
+{
+    return milliseconds(heartbeat_interval_.count * overdue_tenths / 10);
 }
 
 auto local_server::on_leave(millis, const std::string& server_id) -> bool
@@ -165,6 +329,21 @@
     unanswered_since_.reset();
 }
 
+auto local_server::on_flow_lost(millis now) -> void
+{
+    flow_lost_at_ = now;
+}
+
+auto local_server::has_process_ended() const -> bool
+{
+    const auto is_since_heartbeat = [&](const std::optional<millis>& at)
+    {
+        return at.has_value() && last_heartbeat_at_ <= *at;
+    };
+    return absent_ || is_since_heartbeat(refused_at_) ||
+           is_since_heartbeat(flow_lost_at_);
+}
+
 auto local_server::is_in_doubt(millis now, millis agent_started) const -> bool
 {
     if (absent_)
@@ -173,9 +352,7 @@
     }
     const auto known = last_heartbeat_.has_value();
     const auto silence = now - (known ? last_heartbeat_at_ : agent_started);
-    const auto expected =
-        known ? milliseconds(heartbeat_interval_.count * overdue_tenths / 10)
-              : first_heartbeat_timeout;
+    const auto expected = known ? overdue_time() : first_heartbeat_timeout;
     const auto overdue = left_ || silence > expected;
     const auto refuses =
         refused_at_.has_value() && last_heartbeat_at_ <= *refused_at_;
@@ -203,8 +380,7 @@
 
 auto local_server::accepts_new_flows(millis now) const -> bool
 {
-    if (!last_heartbeat_.has_value() || left_ || absent_ ||
-        last_heartbeat_->draining)
+    if (!last_heartbeat_.has_value() || left_ || absent_ || draining_)
     {
         return false;
     }
@@ -235,7 +411,7 @@
 
 auto local_server::is_draining() const -> bool
 {
-    return left_ || (last_heartbeat_.has_value() && last_heartbeat_->draining);
+    return left_ || draining_;
 }
 
 auto local_server::is_known() const -> bool
@@ -255,9 +431,12 @@
 
 auto local_server::slots() const -> std::uint32_t
 {
-    return last_heartbeat_.has_value()
-               ? std::max<std::uint32_t>(1, last_heartbeat_->slots)
-               : 1;
+    return std::max<std::uint32_t>(1, slots_);
+}
+
+auto local_server::warm_up_left(millis now) const -> millis
+{
+    return std::max(millis{}, warm_up_.left - (now - warm_up_.at));
 }
 
 auto local_server::server_id() const -> std::string_view
--- a/modules/packets/agent/local_server.hpp
+++ b/modules/packets/agent/local_server.hpp
@@ -1,7 +1,7 @@
 #ifndef BRIARDRUM_PACKETS_AGENT_LOCAL_SERVER_HPP
 #define BRIARDRUM_PACKETS_AGENT_LOCAL_SERVER_HPP
 
-#include "packets/agent/server_heartbeat.hpp"
+#include "packets/agent/unconfirmed_incarnations.hpp"
 
 #include <optional>
 
@@ -15,28 +15,37 @@
     renewed,
     // The state, the service or the slots of the server have changed.
     changed,
-    // A new incarnation: the flows of the previous one are lost.
+    // A new incarnation. The flows of the previous one are lost if its process
+    // has ended, and stay if nothing shows that.
     replaced,
     // An out-of-order heartbeat of the same incarnation, which was ignored.
     late,
     // A heartbeat of an incarnation that has since been replaced, which was
     // ignored.
     outdated,
+    // A heartbeat that contradicts those of a server that still runs, as far as
+    // is known. It may come from another writer, and was ignored.
+    unconfirmed,
 };
 
 auto to_string(heartbeat_outcome outcome) -> std::string_view;
 
 // State of the backend server beside the agent: its identity, and whether it is
 // alive.
+//
+// Heartbeats may come from another writer. What
+// contradicts the server as it is known counts only with evidence: its process
+// has ended, or its own heartbeats stay away while the others go on. Its own
+// next heartbeat refutes them.
 class local_server
 {
 public:
     // Missed heartbeats after which a server that sends no packets either is
     // considered gone: one may be lost, and one may be late.
     static constexpr int heartbeats_missed_max = 3;
-    // After this many intervals of heartbeats with rising sequence numbers that
-    // are all lower than that of the last one, the last one was false.
-    static constexpr int intervals_until_restarted = 2;
+    // Heartbeats in order after which a contradicting incarnation, or a state
+    // that a server does not return to, is confirmed.
+    static constexpr std::uint32_t heartbeats_to_confirm = 2;
     // An opening packet is delivered and answered within the VM; this is far
     // above the slowest answer of a live server.
     static constexpr millis opening_answer_timeout = milliseconds(150);
@@ -51,8 +60,8 @@
     // server.
     static constexpr millis retry_interval = milliseconds(250);
 
-    // service_name comes from the settings, and is replaced by the one in each
-    // heartbeat.
+    // service_name comes from the settings, and is replaced by the one in
+    // heartbeats once these are confirmed.
     local_server(std::string service_name, millis heartbeat_interval);
 
     auto on_heartbeat(millis now, const server_heartbeat& heartbeat)
@@ -74,6 +83,14 @@
     // process is not running.
     auto on_opening_refused(millis now) -> void;
 
+    // Call when the server no longer holds an open flow on which it answered a
+    // short time ago, which means that its process was replaced.
+    auto on_flow_lost(millis now) -> void;
+
+    // Returns true if the process of the current incarnation has ended since
+    // its last heartbeat.
+    auto has_process_ended() const -> bool;
+
     // Returns true if there is reason to doubt that the server process runs: a
     // heartbeat is overdue, or opening packets are refused or unanswered.
     // agent_started is the start time of the agent.
@@ -100,13 +117,16 @@
     auto is_draining() const -> bool;
     auto is_known() const -> bool;
 
-    // Returns true if the server is older than the agent, and so may hold flows
-    // that the agent has never seen.
+    // Returns true if the server may be older than the agent, and so may hold
+    // flows that the agent has never seen.
     auto predates_agent() const -> bool;
 
     auto service_name() const -> const std::string&;
     auto slots() const -> std::uint32_t;
 
+    // Remaining time for which the server is slow after its start.
+    auto warm_up_left(millis now) const -> millis;
+
     // Id and start time of the current incarnation; empty and 0 before the
     // first heartbeat.
     auto server_id() const -> std::string_view;
@@ -118,38 +138,75 @@
     auto last_heard_at() const -> millis;
 
 private:
-    // Heartbeats that were taken for late, one after the other.
-    struct lower_sequences
+    // Remaining warm-up time as a heartbeat states it.
+    struct warm_up_statement
     {
-        std::uint64_t last = 0;
-        millis since;
-        millis last_at;
+        millis left;
+        millis at;
     };
 
+    auto on_first(millis now, const server_heartbeat& heartbeat)
+        -> heartbeat_outcome;
+    auto on_other_incarnation(millis now, const server_heartbeat& heartbeat)
+        -> heartbeat_outcome;
+    auto on_other_service(millis now, const server_heartbeat& heartbeat)
+        -> heartbeat_outcome;
     auto on_same_incarnation(millis now, const server_heartbeat& heartbeat)
         -> heartbeat_outcome;
+    auto on_out_of_order(millis now, const server_heartbeat& heartbeat)
+        -> heartbeat_outcome;
+    auto adopt(millis now, const unconfirmed_incarnation& next) -> void;
+    auto renew(millis now, const server_heartbeat& heartbeat)
+        -> heartbeat_outcome;
+    auto restart_sequence(millis now, const server_heartbeat& heartbeat)
+        -> void;
+    auto record(millis now, const server_heartbeat& heartbeat) -> void;
+    auto follow_draining(bool draining) -> void;
+    auto follow_slots(std::uint32_t slots) -> void;
+    auto follow_warm_up(millis now, millis left) -> void;
+    auto is_confirmed(millis now, const unconfirmed_incarnation& other) const
+        -> bool;
+    auto is_started_after_agent(millis now,
+                                const unconfirmed_incarnation& next) const
+        -> bool;
     auto may_have_started_since_check(millis now,
                                       const server_heartbeat& heartbeat) const
         -> bool;
-    auto is_sequence_restarted(millis now, std::uint64_t sequence) -> bool;
+    auto highest_sequence_since(millis now, millis start) const
+        -> std::uint64_t;
+    auto overdue_time() const -> millis;
 
+    std::string configured_service_;
     std::string service_name_;
     millis heartbeat_interval_;
     std::optional<server_heartbeat> last_heartbeat_;
-    // Empty after each heartbeat that counted.
-    std::optional<lower_sequences> lower_sequences_;
+    unconfirmed_incarnations unconfirmed_;
     millis last_heard_at_;
     millis last_heartbeat_at_;
+    // Time of the first heartbeat of the current incarnation that counted.
+    millis adopted_at_;
+    bool draining_ = false;
+    // Heartbeats in a row that call a draining server ready.
+    std::uint32_t ready_while_draining_ = 0;
+    std::uint32_t slots_ = 1;
+    // As stated by the last heartbeat, which counts once it is repeated.
+    std::uint32_t stated_slots_ = 1;
+    warm_up_statement warm_up_;
+    warm_up_statement stated_warm_up_;
     // Time at which the oldest unanswered opening packet was sent; empty if
     // there is none.
     std::optional<millis> unanswered_since_;
     millis last_attempt_at_;
     std::optional<millis> refused_at_;
+    std::optional<millis> flow_lost_at_;
     bool left_ = false;
     bool absent_ = false;
     // When the server was last found to be absent.
     millis not_found_at_;
     bool predates_agent_ = true;
+    // The first heartbeat was that of a server that has just started, and
+    // nothing has contradicted it yet.
+    bool claims_recent_start_ = false;
 };
 
 } // namespace briardrum
--- a/modules/packets/agent/owned_flow.hpp
+++ b/modules/packets/agent/owned_flow.hpp
@@ -45,6 +45,8 @@
     millis last_used;
     // Time of the last packet from the caller.
     millis caller_heard_at;
+    // Time of the last packet from the server after the handshake.
+    std::optional<millis> answered_at;
     // Last acknowledgement number of the caller, needed to send a reset.
     std::uint32_t caller_acknowledged = 0;
     // End of the caller's data so far, as a sequence number; empty if none has
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -103,22 +103,29 @@
     -> heartbeat_outcome
 {
     auto report = heartbeat_event(now, heartbeat);
+    const auto process_ended = state_.server.has_process_ended();
     const auto outcome = state_.server.on_heartbeat(now, heartbeat);
     if (outcome != heartbeat_outcome::renewed)
     {
         state_.emit(std::move(report).with("outcome", to_string(outcome)));
     }
     if (outcome == heartbeat_outcome::late ||
-        outcome == heartbeat_outcome::outdated)
+        outcome == heartbeat_outcome::outdated ||
+        outcome == heartbeat_outcome::unconfirmed)
     {
         return outcome;
     }
     if (outcome == heartbeat_outcome::replaced)
     {
-        server_packets_.drop_server_flows(now);
+        // Without evidence of its end, the process may live on, and its flows
+        // end when it returns their packets.
+        if (process_ended)
+        {
+            server_packets_.drop_server_flows(now);
+        }
         state_.conduct.on_replaced(now);
     }
-    state_.warm_up.on_heartbeat(now, heartbeat.warm_up_left);
+    state_.warm_up.on_heartbeat(now, state_.server.warm_up_left(now));
     warm_up_log_.update(now);
     state_.conduct.on_heartbeat(now);
     state_.tag = service_tag_of(state_.server.service_name());
--- a/modules/packets/agent/server_heartbeat.cpp
+++ b/modules/packets/agent/server_heartbeat.cpp
@@ -11,6 +11,12 @@
 
 } // namespace
 
+auto is_same_incarnation(const server_heartbeat& a, const server_heartbeat& b)
+    -> bool
+{
+    return a.server_id == b.server_id && a.started_at == b.started_at;
+}
+
 auto check_heartbeat(const server_heartbeat& heartbeat, const endpoint& server,
                      millis wall_time) -> absl::Status
 {
--- a/modules/packets/agent/server_heartbeat.hpp
+++ b/modules/packets/agent/server_heartbeat.hpp
@@ -29,6 +29,11 @@
     millis started_at;
 };
 
+// Returns true if both are of the same incarnation of a server: each start of a
+// server has another id or start time.
+auto is_same_incarnation(const server_heartbeat& a, const server_heartbeat& b)
+    -> bool;
+
 // Returns error_kind::malformed for a heartbeat that cannot be of the server
 // beside this agent: it names another address than the server's, or a start
 // time that is further ahead of the wall time than clocks differ.
--- a/modules/packets/agent/server_packet_handler.cpp
+++ b/modules/packets/agent/server_packet_handler.cpp
@@ -9,6 +9,9 @@
 // A caller that receives an answer acknowledges it within two round trips. A
 // server that resets the flow of a silent caller has only given up on it.
 constexpr millis caller_silence_max = milliseconds(250);
+// A server discards flows that have been idle for many seconds. One on which it
+// answered within this time is only lost with its process.
+constexpr millis answer_recent = seconds(2);
 
 } // namespace
 
@@ -99,6 +102,7 @@
         notices_.announce(flow, row);
     }
     judge_answer(now, flow, row, packet);
+    row.answered_at = now;
     row.confirmed = true;
     row.server_closed = row.server_closed || packet.closes;
     const auto answers = packet.payload_bytes > 0 || packet.closes;
@@ -194,6 +198,10 @@
     }
     if (row.confirmed)
     {
+        if (is_in_use(now, row))
+        {
+            state_.server.on_flow_lost(now);
+        }
         reset_flow(flow, row, "server_lost_flow");
         return;
     }
@@ -213,6 +221,19 @@
     locator_.on_denied_by_server(flow);
 }
 
+// Returns true if the server answered on the flow a short time ago and has no
+// reason of its own to discard it. The age of a flow that was not opened here
+// is not known.
+auto server_packet_handler::is_in_use(millis now, const owned_flow& row) const
+    -> bool
+{
+    const auto answered =
+        row.answered_at.has_value() && now - *row.answered_at <= answer_recent;
+    return answered && row.opening.opens && !row.caller_closed &&
+           !row.server_closed &&
+           now - row.known_since < state_.settings.flow_lifetime;
+}
+
 auto server_packet_handler::reset_flow(const flow_key& flow,
                                        const owned_flow& row,
                                        std::string_view reason) -> void
--- a/modules/packets/agent/server_packet_handler.hpp
+++ b/modules/packets/agent/server_packet_handler.hpp
@@ -34,6 +34,7 @@
     auto on_returned(millis now, const flow_packet& packet) -> void;
     auto withhold_reset(millis now, const flow_key& flow, const owned_flow* row)
         -> void;
+    auto is_in_use(millis now, const owned_flow& row) const -> bool;
     auto reset_flow(const flow_key& flow, const owned_flow& row,
                     std::string_view reason) -> void;
     auto adopt_from_server(millis now, const flow_key& flow,
--- a/tests/fakes/agent_fixture.cpp
+++ b/tests/fakes/agent_fixture.cpp
@@ -104,6 +104,12 @@
     return core->on_heartbeat(now, it);
 }
 
+auto agent_fixture::start_server() -> heartbeat_outcome
+{
+    core->on_server_not_found(now, now);
+    return heartbeat(1);
+}
+
 auto agent_fixture::address_of(std::size_t other) const -> endpoint
 {
     return agent_record(other).data_address;
--- a/tests/fakes/agent_fixture.hpp
+++ b/tests/fakes/agent_fixture.hpp
@@ -32,6 +32,8 @@
 
     auto heartbeat(std::uint64_t sequence, bool draining = false)
         -> heartbeat_outcome;
+    // The server starts after the agent, which has found none before.
+    auto start_server() -> heartbeat_outcome;
     auto address_of(std::size_t other) const -> endpoint;
 
     // A packet of a caller, as a balancer forwards it.
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -540,6 +540,7 @@
     it.core->on_policy(it.now, in_data_centre("dc"));
     CHECK(state_of(it) == member_state::draining);
     it.heartbeat(1, true);
+    it.core->on_leave(it.now, "server");
     server_heartbeat next;
     next.server_id = "next";
     next.service_name = "orders";
--- a/tests/unit/server_absent_test.cpp
+++ b/tests/unit/server_absent_test.cpp
@@ -92,6 +92,7 @@
     CHECK(it.is_in_doubt(start + milliseconds(40), start));
     server_heartbeat heartbeat;
     heartbeat.server_id = "a";
+    heartbeat.service_name = "orders";
     heartbeat.sequence = 1;
     it.on_heartbeat(start, heartbeat);
     CHECK_FALSE(it.is_in_doubt(start + seconds(1), start));
@@ -112,6 +113,7 @@
     REQUIRE(it.on_not_found(seconds(11), seconds(11)));
     server_heartbeat heartbeat;
     heartbeat.server_id = "a";
+    heartbeat.service_name = "orders";
     heartbeat.sequence = 4;
     it.on_heartbeat(seconds(20), heartbeat);
     CHECK_FALSE(it.predates_agent());
