A leave call counts once the server has drained, and its end once it is seen

What callers would see: a leave call of another writer with the server's own id shuts the server out until its next start, and the agent reports no slots, so the members take it that no flow can be open there: open flows of the server then count as lost and are reset.

A server drains before it leaves, so a leave call of one that has not drained is doubted: it is answered with 409, the process is looked for at once, and nothing else changes until that finds none. A leave call after draining counts as before, until the server is heard again. No slots are reported only once no process was found, also by an agent that is itself stopped with its server.

server_left has the outcome (left, doubted, unknown) instead of known=yes|no.

Tests: "a leave call of another writer does not end a living server" fails on the code before in both parts. "an agent whose server has left reports no slots" demanded that the call alone is believed; it now demands the look, no slots after it, and the same for an agent that is stopped. "a silent or departed server accepts no flows" checks all three outcomes.

--- a/modules/io/daemons/packet_agent_daemon.cpp
+++ b/modules/io/daemons/packet_agent_daemon.cpp
@@ -168,7 +168,11 @@
         return answer_heartbeat(*heartbeat);
     }
     const auto& leave = std::get<server_leave>(*said);
-    core_.on_leave(clock::now(), leave.server_id);
+    if (core_.on_leave(clock::now(), leave.server_id) == leave_outcome::doubted)
+    {
+        ++unconfirmed_requests_;
+        return {http_conflict, "text/plain", ""};
+    }
     return {http_ok, "application/json", "{}"};
 }
 
--- a/modules/io/daemons/packet_agent_daemon.hpp
+++ b/modules/io/daemons/packet_agent_daemon.hpp
@@ -56,7 +56,7 @@
     http_server heartbeats_;
     packet_agent core_;
     std::uint64_t bad_heartbeats_ = 0;
-    // Heartbeats that contradict the known server.
+    // Heartbeats and leave announcements that contradict the known server.
     std::uint64_t unconfirmed_requests_ = 0;
 };
 
--- a/modules/packets/agent/local_server.cpp
+++ b/modules/packets/agent/local_server.cpp
@@ -26,6 +26,20 @@
     return "unconfirmed";
 }
 
+auto to_string(leave_outcome outcome) -> std::string_view
+{
+    switch (outcome)
+    {
+    case leave_outcome::left:
+        return "left";
+    case leave_outcome::doubted:
+        return "doubted";
+    case leave_outcome::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 local_server::local_server(std::string service_name, millis heartbeat_interval)
     : configured_service_(service_name), service_name_(std::move(service_name)),
       heartbeat_interval_(heartbeat_interval),
@@ -159,7 +173,6 @@
     unanswered_since_.reset();
     refused_at_.reset();
     flow_lost_at_.reset();
-    left_ = false;
     restart_sequence(now, heartbeat);
 }
 
@@ -236,6 +249,8 @@
     stated_slots_ = heartbeat.slots;
     unconfirmed_.clear();
     absent_ = false;
+    left_ = false;
+    leave_doubted_ = false;
 }
 
 // A server that drains does so until it leaves, so either the heartbeat that
@@ -294,14 +309,20 @@
     return milliseconds(heartbeat_interval_.count * overdue_tenths / 10);
 }
 
-auto local_server::on_leave(millis, const std::string& server_id) -> bool
+auto local_server::on_leave(millis, const std::string& server_id)
+    -> leave_outcome
 {
     if (!last_heartbeat_.has_value() || last_heartbeat_->server_id != server_id)
     {
-        return false;
+        return leave_outcome::unknown;
+    }
+    if (!draining_)
+    {
+        leave_doubted_ = true;
+        return leave_outcome::doubted;
     }
     left_ = true;
-    return true;
+    return leave_outcome::left;
 }
 
 auto local_server::on_packet(millis now) -> void
@@ -353,7 +374,7 @@
     const auto known = last_heartbeat_.has_value();
     const auto silence = now - (known ? last_heartbeat_at_ : agent_started);
     const auto expected = known ? overdue_time() : first_heartbeat_timeout;
-    const auto overdue = left_ || silence > expected;
+    const auto overdue = left_ || leave_doubted_ || silence > expected;
     const auto refuses =
         refused_at_.has_value() && last_heartbeat_at_ <= *refused_at_;
     return overdue || refuses || is_silent(now);
@@ -404,11 +425,6 @@
            now - *unanswered_since_ > opening_answer_timeout;
 }
 
-auto local_server::has_left() const -> bool
-{
-    return left_;
-}
-
 auto local_server::is_draining() const -> bool
 {
     return left_ || draining_;
--- a/modules/packets/agent/local_server.hpp
+++ b/modules/packets/agent/local_server.hpp
@@ -30,10 +30,23 @@
 
 auto to_string(heartbeat_outcome outcome) -> std::string_view;
 
+// Effect of an announcement that a server leaves for good.
+enum class leave_outcome : std::uint8_t
+{
+    left,
+    // The server has not drained before, so the announcement may come from
+    // another writer.
+    doubted,
+    // It names another server.
+    unknown,
+};
+
+auto to_string(leave_outcome outcome) -> std::string_view;
+
 // State of the backend server beside the agent: its identity, and whether it is
 // alive.
 //
-// Heartbeats may come from another writer. What
+// Heartbeats and leave announcements may come from another writer. What
 // contradicts the server as it is known counts only with evidence: its process
 // has ended, or its own heartbeats stay away while the others go on. Its own
 // next heartbeat refutes them.
@@ -67,9 +80,8 @@
     auto on_heartbeat(millis now, const server_heartbeat& heartbeat)
         -> heartbeat_outcome;
 
-    // Call when the server announces that it is leaving permanently. Returns
-    // false if server_id belongs to another server.
-    auto on_leave(millis now, const std::string& server_id) -> bool;
+    // Call when the server announces that it is leaving permanently.
+    auto on_leave(millis now, const std::string& server_id) -> leave_outcome;
 
     // Call for every packet from the server.
     auto on_packet(millis now) -> void;
@@ -111,9 +123,7 @@
     // Returns true if opening packets go unanswered.
     auto is_silent(millis now) const -> bool;
 
-    // Returns true if the server has announced that it is leaving for good.
-    auto has_left() const -> bool;
-
+    // Returns true also for a server that is leaving for good.
     auto is_draining() const -> bool;
     auto is_known() const -> bool;
 
@@ -200,6 +210,7 @@
     std::optional<millis> refused_at_;
     std::optional<millis> flow_lost_at_;
     bool left_ = false;
+    bool leave_doubted_ = false;
     bool absent_ = false;
     // When the server was last found to be absent.
     millis not_found_at_;
--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -161,18 +161,24 @@
         .with("heard_ms_ago", as_count(now - server.last_heard_at()));
 }
 
-auto packet_agent::on_leave(millis now, const std::string& server_id) -> bool
+// Only the end of the process shows that the server is gone, so it is looked
+// for at once.
+auto packet_agent::on_leave(millis now, const std::string& server_id)
+    -> leave_outcome
 {
-    const auto known = state_.server.on_leave(now, server_id);
-    if (known)
+    const auto outcome = state_.server.on_leave(now, server_id);
+    if (outcome == leave_outcome::left)
     {
         state_.warm_up.on_restart_suspected();
     }
     state_.emit(event("server_left")
                     .with("server", server_id)
-                    .with("known", known ? "yes" : "no"));
+                    .with("held_server", state_.server.server_id())
+                    .with("outcome", to_string(outcome)));
     update_own_record(now);
-    return known;
+    next_look_ = now;
+    look_for_server(now);
+    return outcome;
 }
 
 auto packet_agent::look_for_server(millis now) -> void
@@ -203,12 +209,15 @@
 }
 
 // A process that is stopped right after its start has not heard of its server
-// yet. It must know whether there is one before it leaves: other members cannot
-// exclude that a departed agent's server holds flows.
+// yet, and one that is stopped with its server may not know yet that it is
+// gone. It must know whether there is one before it leaves: other members
+// cannot exclude that a departed agent's server holds flows.
 auto packet_agent::drain(millis now) -> void
 {
     state_.draining = true;
-    if (!state_.server.is_known() && state_.hooks.look_for_server)
+    const auto doubtful = !state_.server.is_known() ||
+                          state_.server.is_in_doubt(now, state_.started_at);
+    if (doubtful && state_.hooks.look_for_server)
     {
         state_.hooks.look_for_server(now);
     }
@@ -279,9 +288,8 @@
     {
         state_.members.set_service(now, state_.server.service_name());
     }
-    // No slots mean that the server has left: no flow can be open here.
-    const auto gone = state_.server.has_left() || state_.server.is_absent();
-    const auto slots = gone ? 0 : state_.server.slots();
+    // No slots mean that no server process runs: no flow can be open here.
+    const auto slots = state_.server.is_absent() ? 0 : state_.server.slots();
     if (own.slots != slots)
     {
         state_.members.set_slots(now, slots);
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -53,7 +53,7 @@
 
     auto on_heartbeat(millis now, const server_heartbeat& heartbeat)
         -> heartbeat_outcome;
-    auto on_leave(millis now, const std::string& server_id) -> bool;
+    auto on_leave(millis now, const std::string& server_id) -> leave_outcome;
 
     // Call with the placement policy on each change. Without needs_policy in
     // the settings it need not be called.
--- a/tests/unit/foreign_heartbeat_test.cpp
+++ b/tests/unit/foreign_heartbeat_test.cpp
@@ -265,6 +265,33 @@
     CHECK_FALSE(it.takes_new_flow());
 }
 
+// Guards against: a leave call of another writer shuts the server out until its
+// next start, and tells the members that no flow can be open here.
+TEST_CASE("a leave call of another writer does not end a living server")
+{
+    serving_agent it;
+    SUBCASE("the server is ready")
+    {
+        it.core->on_leave(it.now, "server");
+        CHECK(it.server_checks > 0);
+        CHECK(it.is_as_before());
+        CHECK(it.takes_new_flow());
+        it.beat_for(interval);
+        const auto checks = it.server_checks;
+        it.beat_for(interval);
+        CHECK(it.server_checks == checks);
+    }
+    SUBCASE("the server drains, and keeps its flows")
+    {
+        it.own.draining = true;
+        it.beat();
+        it.core->on_leave(it.now, "server");
+        CHECK(it.members->self().slots == 2);
+    }
+    CHECK(it.resets.empty());
+    CHECK(it.serves_open_flow());
+}
+
 // Guards against: a defence that shuts out a server that has really started.
 TEST_CASE("a new incarnation is given flows, and the lost ones are reset")
 {
--- a/tests/unit/local_server_test.cpp
+++ b/tests/unit/local_server_test.cpp
@@ -198,8 +198,17 @@
     CHECK_FALSE(it.accepts_new_flows(seconds(104)));
     it.on_packet(seconds(104));
     CHECK(it.accepts_new_flows(seconds(105)));
-    CHECK_FALSE(it.on_leave(seconds(105), "other"));
+    CHECK(it.on_leave(seconds(105), "other") == leave_outcome::unknown);
     CHECK(it.accepts_new_flows(seconds(105)));
-    CHECK(it.on_leave(seconds(105), "a"));
+    // A server drains before it leaves.
+    CHECK(it.on_leave(seconds(105), "a") == leave_outcome::doubted);
+    CHECK(it.accepts_new_flows(seconds(105)));
+    CHECK(it.is_in_doubt(seconds(105), seconds(90)));
+    auto draining = make_heartbeat("a", 10, 2);
+    draining.draining = true;
+    it.on_heartbeat(seconds(105), draining);
+    CHECK_FALSE(it.accepts_new_flows(seconds(105)));
+    CHECK(it.on_leave(seconds(105), "a") == leave_outcome::left);
     CHECK_FALSE(it.accepts_new_flows(seconds(105)));
+    CHECK(it.is_in_doubt(seconds(105), seconds(90)));
 }
--- a/tests/unit/lost_flow_test.cpp
+++ b/tests/unit/lost_flow_test.cpp
@@ -653,11 +653,21 @@
     CHECK(it.notices.front().label.kind == label_kind::unowned);
 }
 
-TEST_CASE("an agent whose server has left reports no slots")
+// Guards against: no slots are reported for a server that only another writer
+// has called gone, so that its open flows count as lost; and an agent that
+// leaves with its server is taken for one whose server lives on.
+TEST_CASE("an agent whose server has left reports no slots once it is gone")
 {
     agent_fixture it;
     it.heartbeat(1);
+    it.heartbeat(2, true);
     CHECK(it.members->self().slots == 2);
     it.core->on_leave(it.now, "server");
+    CHECK(it.members->self().slots == 2);
+    CHECK(it.server_checks == 1);
+    it.advance_time(milliseconds(20));
+    it.core->drain(it.now);
+    CHECK(it.server_checks == 2);
+    it.core->on_server_not_found(it.now, it.now);
     CHECK(it.members->self().slots == 0);
 }
