Packets of an open flow reach their server under any service

What callers would see: a service is renamed, by its server's heartbeats or in the routes, and the packets of flows that were opened before are refused (packet_refused reason=wrong_service) by the agent whose server holds them, until the last balancer and agent use the new name; flows then hang, or count as unknown.

Cause: the agent compared the service of every packet with its server's present one before it looked whether the flow is its own. A flow stays with its server whatever its route leads to later; only opening packets, notices and packets of unknown flows depend on the service.

Tests, failing on the code before: "a packet of an open flow reaches its server under any service" (both parts) and the last check of "a server whose service is renamed keeps its flows".

--- a/modules/packets/agent/packet_agent.cpp
+++ b/modules/packets/agent/packet_agent.cpp
@@ -32,7 +32,7 @@
 auto packet_agent::on_packet(millis now, const endpoint& from,
                              const flow_packet& packet) -> void
 {
-    if (packet.label.service != state_.tag)
+    if (packet.label.service != state_.tag && !is_of_known_flow(packet))
     {
         ++state_.counters.wrong_service;
         state_.emit(
@@ -67,6 +67,20 @@
     }
 }
 
+// An open flow stays with its server, whatever service its route leads to, or
+// its server is said to be of, since it was opened.
+auto packet_agent::is_of_known_flow(const flow_packet& packet) const -> bool
+{
+    const auto kind = packet.label.kind;
+    const auto is_data = kind == label_kind::forward ||
+                         kind == label_kind::relay ||
+                         kind == label_kind::locate;
+    const auto* row = state_.flows.find(flow_from_caller(packet));
+    return is_data && !packet.opens && row != nullptr &&
+           row->phase != flow_phase::waiting &&
+           row->phase != flow_phase::probing;
+}
+
 auto packet_agent::on_server_packet(millis now, const flow_packet& packet)
     -> void
 {
--- a/modules/packets/agent/packet_agent.hpp
+++ b/modules/packets/agent/packet_agent.hpp
@@ -94,6 +94,7 @@
     auto update_own_record(millis now) -> void;
     auto update_warm_up_rate(millis now) -> void;
     auto look_for_server(millis now) -> void;
+    auto is_of_known_flow(const flow_packet& packet) const -> bool;
     auto heartbeat_event(millis now, const server_heartbeat& heartbeat) const
         -> event;
 
--- a/tests/unit/foreign_heartbeat_test.cpp
+++ b/tests/unit/foreign_heartbeat_test.cpp
@@ -364,6 +364,7 @@
     CHECK(it.members->self().service_name == "orders-2");
     CHECK(it.resets.empty());
     CHECK(it.takes_new_flow());
+    CHECK(it.serves_open_flow());
 }
 
 // Guards against: a server of a service that was renamed while its agent was
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -57,6 +57,30 @@
     CHECK(it.core->counters().wrong_service == 2);
 }
 
+// Guards against: the route, or the server's service, was renamed since a flow
+// was opened, and its packets are refused beside the server that holds it.
+TEST_CASE("a packet of an open flow reaches its server under any service")
+{
+    agent_fixture it;
+    it.heartbeat(1);
+    it.open_flow(1);
+    const auto sent = it.to_server.size();
+    auto request = it.data(1, small_payload);
+    request.label.service = service_tag_of("surveys");
+    SUBCASE("from a balancer") {}
+    SUBCASE("in a search")
+    {
+        request.label.kind = label_kind::locate;
+    }
+    it.receive_from_balancer(request);
+    CHECK(it.to_server.size() == sent + 1);
+    // A copy of the opening packet may open another flow.
+    auto copy = it.opening(1, 1);
+    copy.label.service = service_tag_of("surveys");
+    it.receive_from_balancer(copy);
+    CHECK(it.core->counters().wrong_service == 1);
+}
+
 TEST_CASE("an upload uses a slot only once it is complete")
 {
     agent_fixture it;
