Damaged entries of registered agents still count, and prove nothing of others

What callers would see: after many processes are killed, those that start again read the registered agents from the store, and no flow counts as lost before each of them is accounted for. When another writer has damaged the entry of an agent that runs on, that agent was passed over; with the address of another agent in it, it was taken for replaced by that one. In both cases open flows of its server could be reset as lost.

An entry counts by its key, whatever its value, and its address excuses nobody: only an agent's own record tells its address. The cost is bounded: an entry that names no agent, or one whose VM has been replaced meanwhile, holds proofs up in a process that has just started for as long as the route's callers wait, as any agent that does not answer does.

Looked at and left: balancers' addresses in the directory are only contacted; a damaged era marker makes the list incomplete until the registrar writes it again; the registrar restores a damaged entry of a live agent when it reads the directory, every ten seconds.

Tests, failing before: "an agent whose entry cannot be read is still registered" and the new parts of "a flow is not reset while a registered agent is not known". "an unreadable entry of the directory is passed over" demanded that an entry of a real agent's kind is not counted; it now checks that the others are read as before and that this one is counted without an address.

--- a/modules/membership/records/listed_agent.hpp
+++ b/modules/membership/records/listed_agent.hpp
@@ -12,6 +12,8 @@
 struct listed_agent
 {
     member_id id = 0;
+    // As the entry states it, which may come from another writer; none if it
+    // cannot be read.
     endpoint control_address;
 
     auto operator==(const listed_agent&) const -> bool = default;
--- a/modules/node/store/member_directory.cpp
+++ b/modules/node/store/member_directory.cpp
@@ -117,10 +117,12 @@
             continue;
         }
         const auto name = settings_.layout.agent_of(it.key);
-        const auto address = parse_endpoint(it.value);
-        if (!name.empty() && address.ok())
+        if (!name.empty())
         {
-            agents.push_back({member_id_of(name), *address});
+            // An agent whose entry was damaged is still one that must be heard.
+            const auto address = parse_endpoint(it.value);
+            agents.push_back(
+                {member_id_of(name), address.ok() ? *address : endpoint{}});
         }
     }
     has_read_agents_ = is_complete;
--- a/modules/packets/agent/agent_census.cpp
+++ b/modules/packets/agent/agent_census.cpp
@@ -93,6 +93,7 @@
         const auto [it, added] = departed_.try_emplace(
             record.id,
             departed_agent{record.data_address.address, since, left});
+        it->second.address = record.data_address.address;
         it->second.stopped = it->second.stopped || left;
     }
 }
@@ -105,8 +106,7 @@
     {
         if (members_.find(it.id) == nullptr)
         {
-            departed_.try_emplace(
-                it.id, departed_agent{it.control_address.address, now});
+            departed_.try_emplace(it.id, departed_agent{0, now});
         }
     }
 }
--- a/modules/packets/agent/agent_census.hpp
+++ b/modules/packets/agent/agent_census.hpp
@@ -95,7 +95,8 @@
 
     struct departed_agent
     {
-        // The address of its VM, which has one agent.
+        // The address of its VM, which has one agent; 0 for an agent that is
+        // only known from the store, whose entry may be another writer's.
         std::uint32_t address = 0;
         millis since;
         // It was stopped while its server ran on: it starts again soon.
--- a/tests/unit/agent_registrar_test.cpp
+++ b/tests/unit/agent_registrar_test.cpp
@@ -163,6 +163,26 @@
     CHECK(it.entries() == 0);
 }
 
+// Guards against: another writer damages the entry of an agent, a process that
+// starts does not count it, and flows of its server are taken for lost.
+TEST_CASE("an agent whose entry cannot be read is still registered")
+{
+    registrar_fixture it;
+    it.announce(make_agent(1, "orders"));
+    it.announce(make_agent(2, "orders"));
+    it.run(milliseconds(500));
+    const member_directory_layout layout;
+    for (const std::string& odd : {std::string("\xff"), std::string()})
+    {
+        const auto key = layout.agent_key(make_agent(2, "").name);
+        it.data.commit({{}, {{key, odd, false, 0}}});
+        const auto agents = read_agents(it.data);
+        REQUIRE(agents.has_value());
+        REQUIRE(agents->size() == 2);
+        CHECK(agents->at(1) == listed_agent{make_agent(2, "").id, endpoint{}});
+    }
+}
+
 TEST_CASE("agents are registered after the store was unreachable")
 {
     registrar_fixture it;
@@ -197,7 +217,7 @@
 
 // Guards against: an entry that nobody can read keeps the others from being
 // read.
-TEST_CASE("an unreadable entry of the directory is passed over")
+TEST_CASE("an unreadable entry of the directory leaves the others readable")
 {
     registrar_fixture it;
     it.announce(make_agent(1, "orders"));
@@ -209,6 +229,11 @@
         it.run(seconds(1));
         const auto agents = read_agents(it.data);
         REQUIRE(agents.has_value());
-        CHECK(agents->size() == 1);
+        REQUIRE(agents->size() == 2);
+        CHECK(agents->front() ==
+              listed_agent{make_agent(1, "").id,
+                           make_agent(1, "").control_address});
+        // Its key names an agent; whether it is one is not known.
+        CHECK(agents->back() == listed_agent{member_id_of("odd"), endpoint{}});
     }
 }
--- a/tests/unit/lost_flow_test.cpp
+++ b/tests/unit/lost_flow_test.cpp
@@ -429,13 +429,25 @@
     CHECK(it.resets.size() == 1);
 }
 
+// The address in its entry may be another writer's: that another agent is
+// there says nothing about this one.
 TEST_CASE("a flow is not reset while a registered agent is not known")
 {
     agent_fixture it;
     const auto unknown = it.record_of(4);
+    auto address = unknown.control_address;
+    SUBCASE("with its address") {}
+    SUBCASE("with the address of another agent")
+    {
+        address = it.record_of(2).control_address;
+    }
+    SUBCASE("without an address")
+    {
+        address = {};
+    }
     const std::vector<listed_agent> registered = {
         {it.record_of(1).id, it.record_of(1).control_address},
-        {unknown.id, unknown.control_address}};
+        {unknown.id, address}};
     it.core->on_registered_agents(it.now, registered);
     it.start_server();
     it.advance_time(settled);
