A backend server is only given up when two announcements agree

What callers would see, on the project's own interface: one datagram at the agent's socket that announces another service, or cannot be read, ends every request in progress at a server that lives: those that may run once are answered as "outcome unknown".

Cause: server_probe believed each datagram, whether it answered a probe or not, and gave the server up at the first one that did not name its service.

announcement_check decides now, without a socket: only an answer to one of the last five probes counts, by its token; when it contradicts a server that is known, the server is asked again at once, and given up when that answer agrees. Another service at an address that is used again is so noticed one round trip later than before. A refused connection and five silent probes count as before; datagrams that answer no probe no longer count as life.

--- a/modules/io/server/server_probe.cpp
+++ b/modules/io/server/server_probe.cpp
@@ -9,14 +9,14 @@
 
 server_probe::server_probe(asio::io_context& context, const endpoint& server,
                            std::string service, server_probe_hooks hooks)
-    : socket_(context), server_(server), service_(std::move(service)),
+    : socket_(context), server_(server), check_(std::move(service)),
       hooks_(std::move(hooks))
 {
 }
 
 auto server_probe::is_ready() const -> bool
 {
-    return ready_;
+    return check_.is_confirmed();
 }
 
 auto server_probe::reason() const -> const std::string&
@@ -61,9 +61,8 @@
 
 auto server_probe::send() -> void
 {
-    ++message_id_;
     ++unanswered_;
-    const auto datagram = write_announcement_request(message_id_);
+    const auto datagram = write_announcement_request(check_.start_probe());
     asio::error_code ec;
     socket_.send(asio::buffer(datagram), 0, ec);
     if (ec == asio::error::connection_refused)
@@ -102,32 +101,48 @@
 
 auto server_probe::take_answer(byte_view datagram) -> void
 {
-    unanswered_ = 0;
-    const auto answer = read_announcement_answer(datagram);
-    if (!answer.ok())
+    const auto was_ready = is_ready();
+    const auto verdict = check_.on_answer(datagram);
+    if (verdict == announcement_verdict::ignored)
     {
-        lose(std::string(answer.status().message()));
         return;
     }
-    if (answer->service != service_)
+    unanswered_ = 0;
+    switch (verdict)
     {
-        lose("the backend server announces " + answer->service + ", not " +
-             service_);
+    case announcement_verdict::doubted:
+        hooks_.events(event("server_doubted", event_level::warning)
+                          .with("server", to_string(server_))
+                          .with("reason", check_.problem()));
+        send();
+        return;
+    case announcement_verdict::refuted:
+        report_lost(was_ready, check_.problem());
         return;
+    default:
+        break;
     }
-    if (!ready_)
+    if (!was_ready)
     {
-        ready_ = true;
+        const auto& answer = check_.announcement();
         reason_.clear();
         hooks_.events(event("server_ready")
                           .with("server", to_string(server_))
-                          .with("service", service_)
-                          .with("slots", answer->slots));
-        hooks_.on_ready(*answer);
+                          .with("service", answer.service)
+                          .with("slots", answer.slots));
+        hooks_.on_ready(answer);
     }
 }
 
 auto server_probe::lose(const std::string& reason) -> void
+{
+    const auto was_ready = is_ready();
+    check_.on_lost();
+    report_lost(was_ready, reason);
+}
+
+auto server_probe::report_lost(bool was_ready, const std::string& reason)
+    -> void
 {
     if (reason_ != reason)
     {
@@ -136,7 +151,7 @@
                           .with("server", to_string(server_))
                           .with("reason", reason));
     }
-    if (std::exchange(ready_, false))
+    if (was_ready)
     {
         hooks_.on_lost();
     }
--- a/modules/io/server/server_probe.hpp
+++ b/modules/io/server/server_probe.hpp
@@ -1,7 +1,7 @@
 #ifndef BRIARDRUM_IO_SERVER_SERVER_PROBE_HPP
 #define BRIARDRUM_IO_SERVER_SERVER_PROBE_HPP
 
-#include "io/server/server_announcement.hpp"
+#include "io/server/announcement_check.hpp"
 
 #include <array>
 #include <asio.hpp>
@@ -35,7 +35,7 @@
 
     auto tick(millis now) -> void;
 
-    // True while the last answers named the own service.
+    // True while the server is known to be of the own service.
     auto is_ready() const -> bool;
 
     // Why it is not ready, for a person.
@@ -48,18 +48,17 @@
     auto read() -> void;
     auto take_answer(byte_view datagram) -> void;
     auto lose(const std::string& reason) -> void;
+    auto report_lost(bool was_ready, const std::string& reason) -> void;
 
     static constexpr std::size_t buffer_bytes = 2048;
 
     asio::ip::udp::socket socket_;
     endpoint server_;
-    std::string service_;
+    announcement_check check_;
     server_probe_hooks hooks_;
     std::array<std::uint8_t, buffer_bytes> incoming_{};
     millis next_probe_;
-    std::uint16_t message_id_ = 0;
     std::uint32_t unanswered_ = 0;
-    bool ready_ = false;
     std::string reason_ = "the backend server was not asked yet";
 };
 
