--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,7 +1,8 @@
 # Sourced by ./run after the build: the packet programs as separate processes
 # beside the stand-in for the users' platform, while a seeded series of signals
 # stops, kills, pauses and reloads them, overlapping, and the store goes away and
-# comes back from older copies. With --herd, all balancers and some agents are
+# comes back from older copies, and another writer sends heartbeats and leave
+# calls of servers that live. With --herd, all balancers and some agents are
 # killed at the same moment besides. The stand-in says what callers and servers
 # saw.
 # Prints a line a seed; fails when a promise was broken, a process ended by
@@ -122,7 +123,8 @@
     local n verdict=0 fault_ticks
     RANDOM=$1
     fault_pid=() fault_state=() fault_until=()
-    start_packet_site "$balancers" "$agents" --seconds "$seconds" --store-outage
+    start_packet_site "$balancers" "$agents" --seconds "$seconds" \
+        --store-outage --other-writer-ms 400 --seed "$1"
     fault_balancers=()
     for ((n = 1; n <= balancers; n++)); do
         fault_balancers+=("balancer-$n")
--- a/stand_ins/packet_site/main.cpp
+++ b/stand_ins/packet_site/main.cpp
@@ -1,6 +1,6 @@
+#include "stand_ins/packet_site/other_writer.hpp"
 #include "stand_ins/packet_site/platform_store.hpp"
 #include "stand_ins/packet_site/site_callers.hpp"
-#include "stand_ins/packet_site/site_evacuation.hpp"
 #include "stand_ins/packet_site/site_operator.hpp"
 #include "stand_ins/packet_site/site_server.hpp"
 #include "stand_ins/shared/command_line.hpp"
@@ -38,6 +38,8 @@
     double per_second = 200;
     bool store_outage = false;
     std::uint32_t evacuate_ms = 0;
+    std::uint32_t other_writer_ms = 0;
+    std::uint64_t seed = 1;
 };
 
 constexpr std::uint32_t balancer_network = 0x7f010000; // 127.1.0.0
@@ -120,6 +122,10 @@
     app.add_option("--evacuate-ms", options.evacuate_ms,
                    "a data centre is evacuated from the first second until two "
                    "thirds are over, and gets no flow after this time");
+    app.add_option("--other-writer-ms", options.other_writer_ms,
+                   "interval between heartbeats and leave calls of another "
+                   "writer, until two thirds are over");
+    app.add_option("--seed", options.seed, "of the other writer");
     CLI11_PARSE(app, argc, argv);
 
     const auto ports = ports_of(options.port_base);
@@ -185,6 +191,13 @@
         evacuation.emplace(context, operators, servers,
                            std::chrono::milliseconds(options.evacuate_ms));
     }
+    std::optional<other_writer> writer;
+    if (options.other_writer_ms > 0)
+    {
+        writer.emplace(context, servers,
+                       std::chrono::milliseconds(options.other_writer_ms),
+                       options.seed);
+    }
     run_for(context, options.seconds / 3);
     operators.set_outage(options.store_outage);
     servers.front()->drain();
@@ -194,6 +207,10 @@
     {
         evacuation->end();
     }
+    if (writer.has_value())
+    {
+        writer->end();
+    }
     operators.change();
     run_for(context, options.seconds / 3);
     callers.end();
@@ -223,7 +240,8 @@
                 servers.front()->is_leave_heard() ? "yes" : "no",
                 number(operators.restores()), number(operators.version()));
     const auto evacuated = !evacuation.has_value() || evacuation->report();
-    const auto kept = evacuated && it.wrong == 0 && it.broken == 0 &&
+    const auto served = !writer.has_value() || writer->report();
+    const auto kept = evacuated && served && it.wrong == 0 && it.broken == 0 &&
                       doubled == 0 && changed == 0 && it.answered > 0 &&
                       servers.front()->is_leave_heard();
     return kept ? 0 : 1;
--- a/stand_ins/packet_site/site_server.cpp
+++ b/stand_ins/packet_site/site_server.cpp
@@ -1,7 +1,6 @@
 #include "stand_ins/packet_site/site_server.hpp"
 
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace briardrum::stand_in
@@ -51,6 +50,29 @@
     draining_ = true;
 }
 
+auto site_server::is_draining() const -> bool
+{
+    return draining_;
+}
+
+auto site_server::control() const -> const endpoint&
+{
+    return settings_.control;
+}
+
+auto site_server::heartbeat() const -> nlohmann::json
+{
+    return {{"service", settings_.service_name},
+            {"address", to_string(settings_.local)},
+            {"zone", "here"},
+            {"version", "v1"},
+            {"slots", settings_.slots},
+            {"state", draining_ ? "draining" : "ready"},
+            {"warmupLeftMs", 0},
+            {"sequence", sequence_},
+            {"born", started_ms_}};
+}
+
 auto site_server::changed_packets() const -> std::uint64_t
 {
     return changed_;
@@ -213,22 +235,16 @@
 auto site_server::beat() -> void
 {
     const auto draining = draining_;
-    const nlohmann::json body = {{"service", settings_.service_name},
-                                 {"address", to_string(settings_.local)},
-                                 {"zone", "here"},
-                                 {"version", "v1"},
-                                 {"slots", settings_.slots},
-                                 {"state", draining ? "draining" : "ready"},
-                                 {"warmupLeftMs", 0},
-                                 {"sequence", ++sequence_},
-                                 {"born", started_ms_}};
-    client_.call(
-        {"POST", "/v1/instances/i-1/heartbeat", body.dump()}, heartbeat_timeout,
-        [this, draining](const absl::StatusOr<http_response>& response)
-        {
-            const auto heard = response.ok() && response->status == http_ok;
-            drain_heard_ = drain_heard_ || (heard && draining);
-        });
+    ++sequence_;
+    client_.call({"POST", std::string("/v1/instances/") + id + "/heartbeat",
+                  heartbeat().dump()},
+                 heartbeat_timeout,
+                 [this, draining](const absl::StatusOr<http_response>& response)
+                 {
+                     const auto heard =
+                         response.ok() && response->status == http_ok;
+                     drain_heard_ = drain_heard_ || (heard && draining);
+                 });
     timer_.expires_after(
         std::chrono::milliseconds(settings_.heartbeat_interval.count));
     timer_.async_wait(
--- a/stand_ins/packet_site/site_server.hpp
+++ b/stand_ins/packet_site/site_server.hpp
@@ -9,6 +9,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 
@@ -34,6 +35,8 @@
 class site_server
 {
 public:
+    static constexpr const char* id = "i-1";
+
     site_server(asio::io_context& context, site_server_settings settings,
                 std::function<void(const std::string& request)> on_run);
 
@@ -41,6 +44,11 @@
     auto start() -> bool;
 
     auto drain() -> void;
+    auto is_draining() const -> bool;
+
+    // Where the agent takes its heartbeats, and the body of the last one.
+    auto control() const -> const endpoint&;
+    auto heartbeat() const -> nlohmann::json;
 
     // Packets that were not as their sender wrote them.
     auto changed_packets() const -> std::uint64_t;
