A response that is arriving is waited for

Cause: a call to the store had one deadline for its whole response, 0.8 s for a read whatever its size; on that link the value takes 1.0 s. Every read was given up 0.2 s before it was complete.

The deadline of a call is now that of its first bytes; a response that goes on arriving is waited for, up to 500 ms between bytes and 4 s in all. Silence is noticed as early as before.

Test: http_test.cpp "a response that is arriving is waited for, as long as it goes on"; with the extension taken out its first part fails.

--- a/modules/io/http/http_client.cpp
+++ b/modules/io/http/http_client.cpp
@@ -2,8 +2,10 @@
 
 #include "io/http/http_reader.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace briardrum
@@ -58,19 +60,12 @@
         done_ = std::move(done);
         target_ = target;
         called_at_ = clock::now();
+        deadline_ = called_at_ + timeout;
+        response_since_.reset();
         kept_ = socket_.is_open();
         sent_ = false;
         complete_ = false;
-        timer_.expires_after(std::chrono::milliseconds(timeout.count));
-        timer_.async_wait(
-            [it = shared_from_this()](const asio::error_code& ec)
-            {
-                if (!ec)
-                {
-                    it->owner_.close_idle_connections();
-                    it->fail("no answer in time");
-                }
-            });
+        wait_for_deadline(called_at_);
         if (socket_.is_open())
         {
             write();
@@ -89,6 +84,36 @@
     }
 
 private:
+    auto wait_for_deadline(millis now) -> void
+    {
+        const auto left = deadline_ - now;
+        timer_.expires_after(std::chrono::milliseconds(left.count));
+        timer_.async_wait(
+            [it = shared_from_this()](const asio::error_code& ec)
+            {
+                if (!ec)
+                {
+                    it->owner_.close_idle_connections();
+                    it->fail("no answer in time");
+                }
+            });
+    }
+
+    // Bytes of the response have arrived, and more are to come.
+    auto extend_deadline() -> void
+    {
+        const auto now = clock::now();
+        response_since_ = response_since_.value_or(now);
+        const auto& limits = owner_.limits_;
+        const auto until = std::min(now + limits.stall_timeout,
+                                    *response_since_ + limits.duration_max);
+        if (until > deadline_)
+        {
+            deadline_ = until;
+            wait_for_deadline(now);
+        }
+    }
+
     auto connect() -> void
     {
         const tcp::endpoint place(asio::ip::address_v4(owner_.server_.address),
@@ -143,6 +168,7 @@
         }
         if (!complete_)
         {
+            extend_deadline();
             read();
             return;
         }
@@ -202,6 +228,9 @@
     std::string out_;
     std::string target_;
     millis called_at_;
+    millis deadline_;
+    // When the first bytes of the response arrived; empty before.
+    std::optional<millis> response_since_;
     // True if the connection was open before the call.
     bool kept_ = false;
     callback done_;
@@ -212,8 +241,9 @@
 };
 
 http_client::http_client(asio::io_context& context, const endpoint& server,
-                         event_sink events)
-    : context_(context), server_(server), events_(std::move(events))
+                         event_sink events, http_response_limits limits)
+    : context_(context), server_(server), events_(std::move(events)),
+      limits_(limits)
 {
 }
 
--- a/modules/io/http/http_client.hpp
+++ b/modules/io/http/http_client.hpp
@@ -13,11 +13,24 @@
 namespace briardrum
 {
 
+// How long a response may take once its first bytes have arrived.
+struct http_response_limits
+{
+    // Time without further bytes: a packet that was lost is sent again within
+    // about 300 ms.
+    millis stall_timeout = milliseconds(500);
+    // Time for the whole response. A body of body_bytes_max passes a link of 10
+    // Mbit/s within it.
+    millis duration_max = seconds(4);
+};
+
 // Makes HTTP/1.1 calls to one server, on the thread that runs the context.
 //
 // Each call has a deadline of its own, for a connection may go silent without
-// an error. One that missed a deadline is not used again, and neither are those
-// that are kept for later calls then: what silences one silences all.
+// an error. A response that is arriving then is waited for: how long that takes
+// depends on its size and the link. One that missed a deadline is not used
+// again, and neither are those that are kept for later calls then: what
+// silences one silences all.
 class http_client
 {
 public:
@@ -29,7 +42,7 @@
 
     // Each call that fails is logged to events, which may be empty.
     http_client(asio::io_context& context, const endpoint& server,
-                event_sink events = nullptr);
+                event_sink events = nullptr, http_response_limits limits = {});
     ~http_client();
     http_client(const http_client&) = delete;
     auto operator=(const http_client&) -> http_client& = delete;
@@ -54,6 +67,7 @@
     asio::io_context& context_;
     endpoint server_;
     event_sink events_;
+    http_response_limits limits_;
     std::vector<std::shared_ptr<connection>> idle_;
     std::vector<std::shared_ptr<connection>> used_;
 };
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <optional>
 #include <spdlog/logger.h>
 #include <unistd.h>
 
@@ -296,3 +297,140 @@
     ::close(ends[0]);
     ::close(ends[1]);
 }
+
+namespace
+{
+
+// Answers one request with a body of this many parts, one after each interval,
+// and never sends the last of them if it stalls.
+class slow_server
+{
+public:
+    slow_server(asio::io_context& context, millis interval, int parts,
+                bool stalls)
+        : acceptor_(context, {asio::ip::address_v4(loopback.address), 0}),
+          socket_(context), timer_(context), interval_(interval),
+          parts_left_(stalls ? parts - 1 : parts),
+          head_("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(parts) +
+                "\r\n\r\n")
+    {
+        acceptor_.async_accept(socket_,
+                               [this](const asio::error_code& ec)
+                               {
+                                   if (!ec)
+                                   {
+                                       read_request();
+                                   }
+                               });
+    }
+
+    auto address() const -> endpoint
+    {
+        return {loopback.address, acceptor_.local_endpoint().port()};
+    }
+
+    auto close() -> void
+    {
+        acceptor_.close();
+        socket_.close();
+        timer_.cancel();
+    }
+
+private:
+    auto read_request() -> void
+    {
+        socket_.async_read_some(asio::buffer(buf_),
+                                [this](const asio::error_code& ec, std::size_t)
+                                {
+                                    if (!ec)
+                                    {
+                                        send(head_);
+                                        send_parts();
+                                    }
+                                });
+    }
+
+    auto send_parts() -> void
+    {
+        if (parts_left_-- == 0)
+        {
+            return;
+        }
+        timer_.expires_after(std::chrono::milliseconds(interval_.count));
+        timer_.async_wait(
+            [this](const asio::error_code& ec)
+            {
+                if (!ec)
+                {
+                    send("x");
+                    send_parts();
+                }
+            });
+    }
+
+    auto send(std::string_view bytes) -> void
+    {
+        asio::error_code ignored;
+        asio::write(socket_, asio::buffer(bytes), ignored);
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    millis interval_;
+    int parts_left_;
+    std::string head_;
+    std::array<char, 1000> buf_{};
+};
+
+} // namespace
+
+// Guards against (review/9): a large configuration takes longer on a slow link
+// than a call may wait, each read is given up shortly before it is complete,
+// and the balancer never adopts a version again.
+TEST_CASE("a response that is arriving is waited for, as long as it goes on")
+{
+    constexpr auto timeout = milliseconds(60);
+    http_response_limits limits;
+    limits.stall_timeout = milliseconds(400);
+    limits.duration_max = seconds(20);
+    auto interval = milliseconds(30);
+    auto stalls = false;
+    auto arrives = false;
+    SUBCASE("its parts go on arriving")
+    {
+        arrives = true;
+    }
+    SUBCASE("it stops")
+    {
+        stalls = true;
+    }
+    SUBCASE("it takes too long altogether")
+    {
+        limits.duration_max = milliseconds(100);
+    }
+    SUBCASE("each part takes too long")
+    {
+        limits.stall_timeout = milliseconds(1);
+        interval = milliseconds(200);
+    }
+    asio::io_context context;
+    constexpr int parts = 8;
+    slow_server server(context, interval, parts, stalls);
+    http_client client(context, server.address(), nullptr, limits);
+    std::optional<absl::StatusOr<http_response>> result;
+    client.call({"GET", "/", ""}, timeout,
+                [&](const absl::StatusOr<http_response>& response)
+                {
+                    result = response;
+                    client.close();
+                    server.close();
+                });
+    context.run();
+    REQUIRE(result.has_value());
+    REQUIRE(result->ok() == arrives);
+    if (arrives)
+    {
+        CHECK((*result)->body == std::string(parts, 'x'));
+    }
+}
