Former services of moved routes: taken back

Cause, from the logs of all processes: a route is moved at 23.2 s, and all processes are killed at 34 s. Every balancer then knows the former service and has no hints, so that the packets of all open flows go to agents of both services. Those of the wrong one show each to their servers and search for its owner (1,200 searches in second 34 instead of 551), the agents' processors are used up, flows wait and are refused as queue_full (9,961 instead of none), and their callers open more: seven times as many openings a second, until second 47.

What a next try needs: a copy to the former service only for a flow that nobody claims after its first packet.

--- a/modules/io/daemons/packet_balancer_daemon.cpp
+++ b/modules/io/daemons/packet_balancer_daemon.cpp
@@ -102,15 +102,6 @@
         core_.set_evacuating(!policy.evacuated.empty());
         policy_source_.set_known_limits(policy.warm_up);
     };
-    out.on_former_routes =
-        [this](millis now, std::span<const former_route> routes)
-    {
-        core_.on_former_routes(now, routes);
-    };
-    out.former_routes = [this](millis now)
-    {
-        return core_.former_routes(now);
-    };
     out.is_ready = [this]
     {
         return core_.is_ready();
--- a/modules/io/daemons/packet_process.cpp
+++ b/modules/io/daemons/packet_process.cpp
@@ -221,35 +221,23 @@
     settings.publishes = settings_.kind == member_kind::balancer;
     directory_ = std::make_unique<member_directory>(
         in, std::move(settings),
-        member_directory_hooks{
-            [this](std::span<const endpoint> found)
-            {
-                members_.add_start_addresses(found);
-            },
-            loop_.log().sink(),
-            [this](std::span<const listed_agent> agents)
-            {
-                if (hooks_.on_registered_agents)
-                {
-                    hooks_.on_registered_agents(clock::now(), agents);
-                }
-            },
-            [this](std::span<const former_route> routes)
-            {
-                if (hooks_.on_former_routes)
-                {
-                    hooks_.on_former_routes(clock::now(), routes);
-                }
-            }});
+        member_directory_hooks{[this](std::span<const endpoint> found)
+                               {
+                                   members_.add_start_addresses(found);
+                               },
+                               loop_.log().sink(),
+                               [this](std::span<const listed_agent> agents)
+                               {
+                                   if (hooks_.on_registered_agents)
+                                   {
+                                       hooks_.on_registered_agents(clock::now(),
+                                                                   agents);
+                                   }
+                               }});
     if (settings_.kind == member_kind::balancer)
     {
         agent_registrar_settings registration;
         registration.departed_retention = settings_.flow_lifetime;
-        registration.former_routes = [this](millis now)
-        {
-            return hooks_.former_routes ? hooks_.former_routes(now)
-                                        : std::vector<former_route>{};
-        };
         registrar_ = std::make_unique<agent_registrar>(
             in, members_, std::move(registration), loop_.log().sink());
     }
--- a/modules/io/daemons/packet_process.hpp
+++ b/modules/io/daemons/packet_process.hpp
@@ -36,11 +36,6 @@
         on_registered_agents;
     // A placement policy that differs from the one before; may be empty.
     std::function<void(millis now, const placement_policy&)> on_policy;
-    // Services that routes led to before, as the store's directory has them,
-    // and as this process keeps them there. Balancers only.
-    std::function<void(millis now, std::span<const former_route>)>
-        on_former_routes;
-    std::function<std::vector<former_route>(millis now)> former_routes;
     std::function<bool()> is_ready;
     std::function<void(metrics_text&)> metrics;
 };
--- a/modules/node/store/agent_registrar.cpp
+++ b/modules/node/store/agent_registrar.cpp
@@ -115,8 +115,7 @@
     for (const auto& it : result->values)
     {
         const auto is_agent = !settings_.layout.agent_of(it.key).empty();
-        if (is_agent || settings_.layout.is_former_route(it.key) ||
-            it.key == settings_.layout.era_key())
+        if (is_agent || it.key == settings_.layout.era_key())
         {
             stored_[it.key] = it.value;
         }
@@ -147,14 +146,6 @@
                 to_string(record.control_address);
         }
     }
-    if (settings_.former_routes)
-    {
-        for (const auto& route : settings_.former_routes(now_))
-        {
-            registered[settings_.layout.former_route_key(route)] =
-                route.service_name;
-        }
-    }
     for (const auto& [key, value] : registered)
     {
         gone_since_.erase(key);
@@ -199,8 +190,7 @@
         return false;
     }
     const auto name = settings_.layout.agent_of(key);
-    const auto* record =
-        name.empty() ? nullptr : members_.find(member_id_of(name));
+    const auto* record = members_.find(member_id_of(name));
     const auto left_without_server = record != nullptr &&
                                      record->state == member_state::left &&
                                      record->slots == 0;
--- a/modules/node/store/agent_registrar.hpp
+++ b/modules/node/store/agent_registrar.hpp
@@ -5,12 +5,10 @@
 #include "node/store/member_directory_layout.hpp"
 #include "node/store/store.hpp"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace briardrum
 {
@@ -31,10 +29,6 @@
     millis read_interval = seconds(10);
     // Delay between a failed call and the next.
     millis retry_interval = milliseconds(300);
-    // Returns the services that routes led to before, for as long as flows may
-    // be open there. May be empty.
-    std::function<std::vector<former_route>(millis now)> former_routes =
-        nullptr;
 };
 
 // Keeps the agents that may hold flows registered in the store's directory of
@@ -47,9 +41,6 @@
 // entry is removed when it has left without a server, when it has been dead for
 // dead_retention, or gone in another way for departed_retention.
 //
-// It also keeps the former services of routes in the directory: a balancer that
-// starts after a route was moved knows only its present services.
-//
 // Call tick() about every 100 ms.
 class agent_registrar
 {
@@ -98,7 +89,7 @@
     // Keys and values as they are in the store, as far as known.
     std::map<std::string, std::string> stored_;
     store_era era_ = 0;
-    // When the agent or route of each key was first found to be gone.
+    // When the agent of each key was first found to be gone.
     std::map<std::string, millis> gone_since_;
     // False once this object is destroyed; checked by pending callbacks.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/modules/node/store/member_directory.cpp
+++ b/modules/node/store/member_directory.cpp
@@ -74,8 +74,7 @@
     std::vector<endpoint> addresses;
     for (const auto& it : result->values)
     {
-        if (it.key == settings_.layout.era_key() ||
-            settings_.layout.is_former_route(it.key))
+        if (it.key == settings_.layout.era_key())
         {
             continue;
         }
@@ -94,7 +93,6 @@
     }
     report_read(*result, addresses.size());
     hooks_.on_addresses(addresses);
-    read_former_routes(*result);
     if (is_current && !has_read_agents_)
     {
         read_agents(*result);
@@ -105,23 +103,6 @@
     }
 }
 
-auto member_directory::read_former_routes(const store_range_result& result)
-    -> void
-{
-    std::vector<former_route> routes;
-    for (const auto& it : result.values)
-    {
-        if (auto route = settings_.layout.former_route_of(it.key))
-        {
-            routes.push_back(*std::move(route));
-        }
-    }
-    if (!routes.empty() && hooks_.on_former_routes)
-    {
-        hooks_.on_former_routes(routes);
-    }
-}
-
 // After a restore, entries may be missing until the registrar has written them
 // again and has said so.
 auto member_directory::read_agents(const store_range_result& result) -> void
--- a/modules/node/store/member_directory.hpp
+++ b/modules/node/store/member_directory.hpp
@@ -33,10 +33,6 @@
     // Called with all registered agents, once it is certain that none is
     // missing, as of the start of this process. May be empty.
     std::function<void(std::span<const listed_agent>)> on_agents = nullptr;
-    // Called with the services that routes led to a short time ago, at each
-    // read that found any. May be empty.
-    std::function<void(std::span<const former_route>)> on_former_routes =
-        nullptr;
 };
 
 // Bootstraps membership from the store, in addition to the start addresses in
@@ -44,8 +40,8 @@
 // are read once at startup, and again while no other member is known or while
 // entries may be missing; gossip maintains the membership itself.
 //
-// Each balancer publishes its own address; those of the agents, and the former
-// services of routes, are written by an agent_registrar.
+// Each balancer publishes its own address; those of the agents are written by
+// an agent_registrar.
 //
 // Call tick() about every 100 ms, and leave() when the process stops for good.
 class member_directory
@@ -70,7 +66,6 @@
     auto read() -> void;
     auto on_range(const absl::StatusOr<store_range_result>& result,
                   bool is_current) -> void;
-    auto read_former_routes(const store_range_result& result) -> void;
     auto read_agents(const store_range_result& result) -> void;
     auto publish() -> void;
     auto own_key() const -> std::string;
--- a/modules/node/store/member_directory_layout.cpp
+++ b/modules/node/store/member_directory_layout.cpp
@@ -7,7 +7,6 @@
 {
 
 constexpr std::string_view agents_part = "agents/";
-constexpr std::string_view routes_part = "former-routes/";
 constexpr std::string_view era_part = "agents-era";
 
 } // namespace
@@ -32,36 +31,6 @@
                                           : std::string_view{};
 }
 
-auto member_directory_layout::former_route_key(const former_route& route) const
-    -> std::string
-{
-    return prefix + std::string(routes_part) + to_string(route.address) + "/" +
-           route.service_name;
-}
-
-auto member_directory_layout::is_former_route(std::string_view key) const
-    -> bool
-{
-    return key.starts_with(prefix + std::string(routes_part));
-}
-
-auto member_directory_layout::former_route_of(std::string_view key) const
-    -> std::optional<former_route>
-{
-    if (!is_former_route(key))
-    {
-        return std::nullopt;
-    }
-    const auto rest = key.substr(prefix.size() + routes_part.size());
-    const auto cut = rest.find('/');
-    const auto address = parse_endpoint(rest.substr(0, cut));
-    if (!address.ok() || cut == rest.npos || cut + 1 == rest.size())
-    {
-        return std::nullopt;
-    }
-    return former_route{*address, std::string(rest.substr(cut + 1))};
-}
-
 auto member_directory_layout::era_key() const -> std::string
 {
     return prefix + std::string(era_part);
--- a/modules/node/store/member_directory_layout.hpp
+++ b/modules/node/store/member_directory_layout.hpp
@@ -1,10 +1,8 @@
 #ifndef BRIARDRUM_NODE_STORE_MEMBER_DIRECTORY_LAYOUT_HPP
 #define BRIARDRUM_NODE_STORE_MEMBER_DIRECTORY_LAYOUT_HPP
 
-#include "membership/records/former_route.hpp"
 #include "node/store/store.hpp"
 
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,16 +24,6 @@
     // another key.
     auto agent_of(std::string_view key) const -> std::string_view;
 
-    // The entry of a service that a route led to before. Its value says
-    // nothing.
-    auto former_route_key(const former_route& route) const -> std::string;
-
-    // Returns true for the key of such an entry, and what it says; nothing if
-    // it cannot be read.
-    auto is_former_route(std::string_view key) const -> bool;
-    auto former_route_of(std::string_view key) const
-        -> std::optional<former_route>;
-
     // The era in which the entries of the agents were last complete. In another
     // era some may be missing.
     auto era_key() const -> std::string;
--- a/modules/packets/balancer/packet_balancer.cpp
+++ b/modules/packets/balancer/packet_balancer.cpp
@@ -72,60 +72,38 @@
                 : current != nullptr && places_alike(*current, old);
         if (current != nullptr && !is_certain)
         {
-            for (const auto& target : old.targets)
-            {
-                remember_target(now, {address, target.service_name});
-            }
+            remember_targets(now, address, old);
         }
     }
 }
 
-auto packet_balancer::remember_target(millis now, const former_route& former)
-    -> void
+auto packet_balancer::remember_targets(millis now, const endpoint& address,
+                                       const route& former) -> void
 {
-    auto& list = former_targets_[former.address];
+    auto& list = former_targets_[address];
     std::erase_if(list,
                   [&](const former_target& it)
                   {
-                      return it.until <= now ||
-                             it.service_name == former.service_name;
+                      return it.until <= now;
                   });
-    list.push_back({former.service_name, now + former_service_time});
-}
-
-auto packet_balancer::on_former_routes(millis now,
-                                       std::span<const former_route> routes)
-    -> void
-{
-    for (const auto& it : routes)
-    {
-        remember_target(now, it);
-    }
-    if (hooks_.events)
-    {
-        hooks_.events(event("former_routes_read")
-                          .with("entries", std::uint64_t{routes.size()}));
-    }
-}
-
-auto packet_balancer::former_routes(millis now) const
-    -> std::vector<former_route>
-{
-    std::vector<former_route> out;
-    for (const auto& [address, list] : former_targets_)
-    {
-        const auto* current =
-            routes_ == nullptr ? nullptr : routes_->find(address);
-        for (const auto& item : list)
+    const auto until = now + former_service_time;
+    for (const auto& target : former.targets)
+    {
+        const auto it =
+            std::find_if(list.begin(), list.end(),
+                         [&](const former_target& item)
+                         {
+                             return item.service_name == target.service_name;
+                         });
+        if (it == list.end())
         {
-            if (current != nullptr && item.until > now &&
-                !current->leads_to(item.service_name))
-            {
-                out.push_back({address, item.service_name});
-            }
+            list.push_back({target.service_name, until});
+        }
+        else
+        {
+            it->until = until;
         }
     }
-    return out;
 }
 
 auto packet_balancer::targets_of(const std::string& service_name)
--- a/modules/packets/balancer/packet_balancer.hpp
+++ b/modules/packets/balancer/packet_balancer.hpp
@@ -2,7 +2,6 @@
 #define BRIARDRUM_PACKETS_BALANCER_PACKET_BALANCER_HPP
 
 #include "membership/membership.hpp"
-#include "membership/records/former_route.hpp"
 #include "packets/balancer/opening_hedger.hpp"
 #include "packets/balancer/packet_balancer_counters.hpp"
 #include "packets/model/packet_hooks.hpp"
@@ -11,8 +10,6 @@
 
 #include <map>
 #include <memory>
-#include <span>
-#include <vector>
 
 namespace briardrum
 {
@@ -40,14 +37,6 @@
     // Adopts a route table with a higher version. Returns false for any other.
     auto adopt(millis now, std::shared_ptr<const route_table> next) -> bool;
 
-    // Call with services that routes led to before this process started.
-    auto on_former_routes(millis now, std::span<const former_route> routes)
-        -> void;
-
-    // Returns the services that routes led to within former_service_time and do
-    // not lead to now.
-    auto former_routes(millis now) const -> std::vector<former_route>;
-
     auto on_caller_packet(millis now, const flow_packet& packet) -> void;
 
     // Caches the owner of a flow as reported by an agent.
@@ -93,7 +82,8 @@
 
     auto report_ignored(const route_table* next) const -> void;
     auto remember_former_targets(millis now, const route_table& next) -> void;
-    auto remember_target(millis now, const former_route& former) -> void;
+    auto remember_targets(millis now, const endpoint& address,
+                          const route& former) -> void;
     auto targets_of(const std::string& service_name) -> const service_targets&;
     auto place_flow(millis now, const flow_packet& packet, const route& matched,
                     const flow_key& flow) -> void;
--- a/modules/packets/model/route_table.cpp
+++ b/modules/packets/model/route_table.cpp
@@ -28,15 +28,6 @@
     return targets.back().service_name;
 }
 
-auto route::leads_to(std::string_view service_name) const -> bool
-{
-    return std::any_of(targets.begin(), targets.end(),
-                       [&](const route_target& it)
-                       {
-                           return it.service_name == service_name;
-                       });
-}
-
 auto route_table::find(const endpoint& address) const -> const route*
 {
     const auto it = routes.find(address);
--- a/modules/packets/model/route_table.hpp
+++ b/modules/packets/model/route_table.hpp
@@ -39,9 +39,6 @@
     // route must have at least one target; if all weights are 0, the first
     // target serves every flow.
     auto service_of(const flow_key& flow) const -> const std::string&;
-
-    // Returns true if the service is one of the targets.
-    auto leads_to(std::string_view service_name) const -> bool;
 };
 
 // All routes of one configuration version.
--- a/tests/unit/agent_registrar_test.cpp
+++ b/tests/unit/agent_registrar_test.cpp
@@ -21,20 +21,9 @@
     memory_store data;
     virtual_store client{data};
     member_view members{make_balancer(1), {}, {}, {}, 1};
-    std::vector<former_route> former;
-    agent_registrar registrar{client, members, make_settings(), nullptr};
+    agent_registrar registrar{client, members, {}, nullptr};
     millis now = seconds(100);
 
-    auto make_settings() -> agent_registrar_settings
-    {
-        agent_registrar_settings out;
-        out.former_routes = [this](millis)
-        {
-            return former;
-        };
-        return out;
-    }
-
     auto announce(const member_record& record) -> void
     {
         members.on_control(now, {record.id, record.incarnation,
@@ -248,74 +237,3 @@
         CHECK(agents->back() == listed_agent{member_id_of("odd"), endpoint{}});
     }
 }
-
-// Guards against (review/6, review/7): balancers that start after a route was
-// moved do not know the service that it led to before.
-TEST_CASE("former services of routes are kept for balancers that start")
-{
-    registrar_fixture it;
-    it.announce(make_agent(1, "orders"));
-    const former_route moved{{0xc6120001, 443}, "orders"};
-    it.former = {moved};
-    it.run(seconds(2));
-    std::vector<former_route> found;
-    std::vector<std::string> events;
-    const auto read = [&]
-    {
-        found.clear();
-        member_directory directory(it.client, {{}, "newcomer", {1, 1}, false},
-                                   {[](std::span<const endpoint>) {},
-                                    [&](const event& value)
-                                    {
-                                        events.push_back(value.line());
-                                    },
-                                    nullptr,
-                                    [&](std::span<const former_route> routes)
-                                    {
-                                        found.assign(routes.begin(),
-                                                     routes.end());
-                                    }});
-        for (auto n = 0; n < 10; ++n)
-        {
-            it.now += tick_interval;
-            directory.tick(it.now, false);
-            it.client.run(it.now);
-        }
-    };
-    read();
-    REQUIRE(found.size() == 1);
-    CHECK(found.front() == moved);
-    for (const auto& line : events)
-    {
-        CHECK(line.find("member_directory_failed") == std::string::npos);
-    }
-    // They are no agents, and stay for as long as flows may be open there.
-    CHECK(read_agents(it.data)->size() == 1);
-    it.former.clear();
-    it.run(seconds(50));
-    read();
-    CHECK(found.size() == 1);
-    it.run(seconds(15));
-    read();
-    CHECK(found.empty());
-}
-
-TEST_CASE("an odd entry among the former services of routes is passed over")
-{
-    const member_directory_layout layout;
-    const former_route route{{0xc6120001, 443}, "orders/eu"};
-    const auto key = layout.former_route_key(route);
-    REQUIRE(layout.former_route_of(key).has_value());
-    CHECK(*layout.former_route_of(key) == route);
-    CHECK(layout.agent_of(key).empty());
-    const std::string prefix = layout.prefix + "former-routes/";
-    for (const auto* odd :
-         {"", "/", "orders", "198.18.0.1:443", "198.18.0.1:443/",
-          "198.18.0.1:99999/orders", "198.18.0.300:1/orders"})
-    {
-        CAPTURE(odd);
-        CHECK(layout.is_former_route(prefix + odd));
-        CHECK_FALSE(layout.former_route_of(prefix + odd).has_value());
-    }
-    CHECK_FALSE(layout.is_former_route(layout.agent_key("former-routes")));
-}
--- a/tests/unit/packet_balancer_test.cpp
+++ b/tests/unit/packet_balancer_test.cpp
@@ -213,66 +213,6 @@
     CHECK_FALSE(reaches_both(1));
 }
 
-// Guards against (review/6, review/7): a route is moved to another service,
-// every balancer is restarted, and packets of flows that were opened before
-// reach servers of the other service and never their own.
-TEST_CASE(
-    "a balancer that starts after a route was moved sends packets of open "
-    "flows to the former service, too")
-{
-    packet_balancer_fixture it;
-    auto other = record_of(agents + 1, member_kind::agent);
-    other.service_name = "surveys";
-    it.receive_gossip(other);
-    const auto moved = [](configuration_version version, std::string service)
-    {
-        auto routes = std::make_shared<route_table>();
-        routes->version = version;
-        routes->routes[route_address] = {{{std::move(service), 1}}, 0};
-        return routes;
-    };
-    CHECK(it.core.former_routes(it.now).empty());
-    it.core.adopt(it.now, moved(2, "surveys"));
-    const auto former = it.core.former_routes(it.now);
-    REQUIRE(former.size() == 1);
-    CHECK(former.front() == former_route{route_address, "orders"});
-
-    packet_balancer restarted(it.members, it.make_hooks());
-    const auto reaches_both = [&]
-    {
-        it.sent.clear();
-        flow_packet packet;
-        packet.source = {caller_address, 1};
-        packet.destination = route_address;
-        packet.acknowledges = true;
-        restarted.on_caller_packet(it.now, packet);
-        return it.sent.size() == 2 && std::count(it.sent.begin(), it.sent.end(),
-                                                 other.data_address) == 1;
-    };
-    SUBCASE("the directory is read before the configuration")
-    {
-        restarted.on_former_routes(it.now, former);
-        restarted.adopt(it.now, moved(2, "surveys"));
-    }
-    SUBCASE("the configuration is read before the directory")
-    {
-        restarted.adopt(it.now, moved(2, "surveys"));
-        restarted.on_former_routes(it.now, former);
-    }
-    CHECK(reaches_both());
-    // It keeps what it has read there, in case the other one is gone.
-    CHECK(restarted.former_routes(it.now) == former);
-    // Moved back: the present service is not a former one.
-    restarted.adopt(it.now, moved(3, "orders"));
-    REQUIRE(restarted.former_routes(it.now).size() == 1);
-    CHECK(restarted.former_routes(it.now).front().service_name == "surveys");
-    CHECK(reaches_both());
-    // No flow is older than this.
-    it.now = it.now + packet_balancer::former_service_time;
-    CHECK_FALSE(reaches_both());
-    CHECK(restarted.former_routes(it.now).empty());
-}
-
 TEST_CASE("packets of a flow follow its opening packet when members change")
 {
     packet_balancer_fixture it;
