--- a/modules/packets/agent/local_server.cpp
+++ b/modules/packets/agent/local_server.cpp
@@ -268,7 +268,8 @@
     draining_ = ready_while_draining_ < heartbeats_to_confirm;
 }
 
-// The slots of an incarnation do not change.
+// The slots of an incarnation do not change, so that another number counts once
+// the next heartbeat repeats it.
 auto local_server::follow_slots(std::uint32_t slots) -> void
 {
     slots_ = slots == stated_slots_ ? slots : slots_;
--- a/modules/packets/agent/local_server.hpp
+++ b/modules/packets/agent/local_server.hpp
@@ -33,6 +33,7 @@
 // Effect of an announcement that a server leaves for good.
 enum class leave_outcome : std::uint8_t
 {
+    // The server has drained, and accepts no flows unless it is heard again.
     left,
     // The server has not drained before, so the announcement may come from
     // another writer.
